Add the frame: core types, tables, checks and the design page

Cause: the project is empty; everything that follows needs one shape for aggregates, messages, effects and errors, and one page with the requirements.

Change: docs/design.md and the glossary; the core package (clock, records, messages, effects, aggregates, dispatcher, counters, logs, digests, schema checks), the CBOR codec, WebSocket links, loop timers, the tables component, the messages between components, and the fake cluster for tests. `make test` runs formatter check, wemake linter, strict types, import rules and tests.

--- /dev/null
+++ b/shallotwharf/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/shallotwharf/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output: codec, links, disk, timers and HTTP; no rules."""
--- /dev/null
+++ b/shallotwharf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/shallotwharf/components/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregates with their own rules, one package a component."""
--- /dev/null
+++ b/shallotwharf/components/call/__init__.py
@@ -0,0 +1,1 @@
+"""One request from caller to answer."""
--- /dev/null
+++ b/shallotwharf/components/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Delivery of versions from control through relays to nodes."""
--- /dev/null
+++ b/shallotwharf/components/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""State machine over the committed entries of the replicated log."""
--- /dev/null
+++ b/shallotwharf/components/ledger/messages.py
@@ -0,0 +1,152 @@
+"""Commands of the log and their outcomes.
+
+Each command carries the wall time `at`, in milliseconds since the epoch, of
+the process that proposed it, so that each replica applies it alike.
+"""
+
+from shallotwharf.components.tables import version
+from shallotwharf.core import messages
+
+
+@messages.register('ledger.apply_edit')
+class ApplyEdit(messages.Message):
+    """Replace the tables.
+
+    Attributes:
+        request_id: UUIDv7; a resent edit has the same.
+        operator: who made the edit.
+        base: number of the version that the edit was made on.
+        tables: the new tables.
+        at: wall time.
+    """
+
+    __slots__ = ('request_id', 'operator', 'base', 'tables', 'at')
+
+    def __init__(
+        self,
+        request_id: str,
+        operator: str,
+        base: int,
+        tables: version.Tables,
+        at: int,
+    ) -> None:
+        self.request_id = request_id
+        self.operator = operator
+        self.base = base
+        self.tables = tables
+        self.at = at
+
+
+@messages.register('ledger.revert')
+class Revert(messages.Message):
+    """Make a new version with the tables of version `number`."""
+
+    __slots__ = ('request_id', 'operator', 'base', 'number', 'at')
+
+    def __init__(
+        self,
+        request_id: str,
+        operator: str,
+        base: int,
+        number: int,
+        at: int,
+    ) -> None:
+        self.request_id = request_id
+        self.operator = operator
+        self.base = base
+        self.number = number
+        self.at = at
+
+
+@messages.register('ledger.step_move')
+class StepMove(messages.Message):
+    """Set the share and state of a move; ignored once it was taken back."""
+
+    __slots__ = ('move_id', 'share', 'state', 'reason', 'at')
+
+    def __init__(
+        self,
+        move_id: str,
+        share: int,
+        state: str,
+        reason: str,
+        at: int,
+    ) -> None:
+        self.move_id = move_id
+        self.share = share
+        self.state = state
+        self.reason = reason
+        self.at = at
+
+
+@messages.register('ledger.take_back')
+class TakeBack(messages.Message):
+    """Take back a move; `reason` names the evidence and who had it."""
+
+    __slots__ = ('move_id', 'reason', 'at')
+
+    def __init__(self, move_id: str, reason: str, at: int) -> None:
+        self.move_id = move_id
+        self.reason = reason
+        self.at = at
+
+
+@messages.register('ledger.assign_holders')
+class AssignHolders(messages.Message):
+    """Replace the holder groups of once-only calls."""
+
+    __slots__ = ('groups', 'at')
+
+    def __init__(
+        self,
+        groups: tuple[version.HolderGroup, ...],
+        at: int,
+    ) -> None:
+        self.groups = groups
+        self.at = at
+
+
+@messages.register('ledger.edit_accepted')
+class EditAccepted(messages.Message):
+    """The edit became version `number`."""
+
+    __slots__ = ('number', 'digest')
+
+    def __init__(self, number: int, digest: bytes) -> None:
+        self.number = number
+        self.digest = digest
+
+
+@messages.register('ledger.edit_conflict')
+class EditConflict(messages.Message):
+    """Another edit was accepted on the same base.
+
+    Attributes:
+        current: number of the current version.
+        winner: request id of the edit that became version `base + 1`; empty
+            if the history no longer has it.
+        operator: who made that edit.
+    """
+
+    __slots__ = ('current', 'winner', 'operator')
+
+    def __init__(self, current: int, winner: str, operator: str) -> None:
+        self.current = current
+        self.winner = winner
+        self.operator = operator
+
+
+@messages.register('ledger.edit_refused')
+class EditRefused(messages.Message):
+    """The edit was not applied.
+
+    Attributes:
+        reason: name of the reason, such as `request_expired`.
+        detail: one line for the operator.
+    """
+
+    __slots__ = ('reason', 'detail')
+
+    def __init__(self, reason: str, detail: str) -> None:
+        self.reason = reason
+        self.detail = detail
--- /dev/null
+++ b/shallotwharf/components/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of a data centre and the upstreams they serve."""
--- /dev/null
+++ b/shallotwharf/components/once/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once."""
--- /dev/null
+++ b/shallotwharf/components/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the upstreams that run them."""
--- /dev/null
+++ b/shallotwharf/components/poison/messages.py
@@ -0,0 +1,26 @@
+"""Events of requests that crash upstreams."""
+
+from shallotwharf.core import messages
+
+
+@messages.register('poison.crash_seen')
+class CrashSeen(messages.Message):
+    """An upstream crashed while it ran these requests; gossiped.
+
+    Attributes:
+        node: the node beside the upstream.
+        crash: number of the crash at that node, from 1.
+        digests: digests of method, path and body of the requests.
+    """
+
+    __slots__ = ('node', 'crash', 'digests')
+
+    def __init__(
+        self,
+        node: str,
+        crash: int,
+        digests: tuple[bytes, ...],
+    ) -> None:
+        self.node = node
+        self.crash = crash
+        self.digests = digests
--- /dev/null
+++ b/shallotwharf/components/replica/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control processes."""
--- /dev/null
+++ b/shallotwharf/components/tables/__init__.py
@@ -0,0 +1,1 @@
+"""The two tables, their versions and the differences between versions."""
--- /dev/null
+++ b/shallotwharf/components/tables/const.py
@@ -0,0 +1,52 @@
+"""Keys and limits of the tables."""
+
+import typing
+
+CONF_ROUTES: typing.Final = 'routes'
+CONF_POOLS: typing.Final = 'pools'
+CONF_NAME: typing.Final = 'name'
+CONF_PATH_PREFIX: typing.Final = 'path_prefix'
+CONF_METHODS: typing.Final = 'methods'
+CONF_POOL: typing.Final = 'pool'
+CONF_PRIORITY: typing.Final = 'priority'
+CONF_TIMEOUT_MS: typing.Final = 'timeout_ms'
+CONF_IDEMPOTENT: typing.Final = 'idempotent'
+CONF_ONCE_ONLY: typing.Final = 'once_only'
+CONF_RETRIES: typing.Final = 'retries'
+CONF_SERVICE: typing.Final = 'service'
+CONF_WEIGHTS: typing.Final = 'weights'
+CONF_SLOW_MS: typing.Final = 'slow_ms'
+CONF_MOVE: typing.Final = 'move'
+CONF_TO_VERSION: typing.Final = 'to_version'
+CONF_DUE: typing.Final = 'due'
+
+# Priorities, first served first; a route's rank is its place in this list.
+PRIORITIES: typing.Final = (
+    'internal',
+    'confirmation',
+    'download',
+    'browsing',
+)
+PRIORITY_CONFIRMATION: typing.Final = 'confirmation'
+METHODS: typing.Final = (
+    'DELETE',
+    'GET',
+    'HEAD',
+    'OPTIONS',
+    'PATCH',
+    'POST',
+    'PUT',
+)
+
+DEFAULT_METHODS: typing.Final = ('GET', 'HEAD')
+DEFAULT_PRIORITY: typing.Final = 'browsing'
+DEFAULT_TIMEOUT_MS: typing.Final = 5000
+DEFAULT_RETRIES: typing.Final = 1
+DEFAULT_SLOW_MS: typing.Final = 1000
+
+MAX_TIMEOUT_MS: typing.Final = 600_000
+MAX_RETRIES: typing.Final = 5
+MAX_NAME_LENGTH: typing.Final = 100
+WEIGHT_SUM: typing.Final = 100
+# Shares of traffic are counted in hundredths of a percent.
+FULL_SHARE: typing.Final = 10_000
--- /dev/null
+++ b/shallotwharf/components/tables/difference.py
@@ -0,0 +1,157 @@
+"""Differences between two versions."""
+
+import types
+import typing
+
+from shallotwharf.components.tables import pool, route, version
+from shallotwharf.core import errors, records
+
+EntryT = typing.TypeVar('EntryT', bound=records.Record)
+
+_STEP: typing.Final = 'difference.apply'
+
+
+class Difference(records.Record):
+    """What turns the version `base` into the version `number`.
+
+    Attributes:
+        base: number of the version it applies to.
+        base_digest: digest of that version.
+        number: number of the result.
+        digest: digest of the result.
+        routes, pools, moves, holders: entries that are new or changed.
+        removals: keys of removed entries, such as `route/order-status`.
+    """
+
+    __slots__ = (
+        'base',
+        'base_digest',
+        'number',
+        'digest',
+        'routes',
+        'pools',
+        'moves',
+        'holders',
+        'removals',
+    )
+
+    def __init__(
+        self,
+        base: int,
+        base_digest: bytes,
+        number: int,
+        digest: bytes,
+        routes: tuple[route.Route, ...],
+        pools: tuple[pool.Pool, ...],
+        moves: tuple[version.Move, ...],
+        holders: tuple[version.HolderGroup, ...],
+        removals: tuple[str, ...],
+    ) -> None:
+        self.base = base
+        self.base_digest = base_digest
+        self.number = number
+        self.digest = digest
+        self.routes = routes
+        self.pools = pools
+        self.moves = moves
+        self.holders = holders
+        self.removals = removals
+
+
+def compute_difference(
+    base: version.Version,
+    target: version.Version,
+) -> Difference:
+    """Return the difference from one version to another."""
+    before = _list_entries(base)
+    after = _list_entries(target)
+    changed = {
+        key: entry for key, entry in after.items() if before.get(key) != entry
+    }
+    return Difference(
+        base.number,
+        base.compute_digest(),
+        target.number,
+        target.compute_digest(),
+        _select(changed, route.Route),
+        _select(changed, pool.Pool),
+        _select(changed, version.Move),
+        _select(changed, version.HolderGroup),
+        tuple(sorted(before.keys() - after.keys())),
+    )
+
+
+def apply_difference(
+    base: version.Version,
+    change: Difference,
+) -> version.Version:
+    """Return the version that a difference leads to.
+
+    Raises:
+        ProtocolError: if it is for another base or the digest of the result
+            is not the stated one; the base is unchanged.
+    """
+    if base.number != change.base:
+        raise errors.ProtocolError(
+            f'difference for version {change.base}, not {base.number}',
+            _STEP,
+        )
+    entries = _list_entries(base)
+    for key in change.removals:
+        entries.pop(key, None)
+    for entry in (
+        *change.routes,
+        *change.pools,
+        *change.moves,
+        *change.holders,
+    ):
+        entries[_format_key(entry)] = entry
+    target = version.Version(
+        change.number,
+        version.Tables(
+            _select(entries, route.Route),
+            _select(entries, pool.Pool),
+        ),
+        _select(entries, version.Move),
+        _select(entries, version.HolderGroup),
+    )
+    if target.compute_digest() != change.digest:
+        raise errors.ProtocolError(
+            f'digest of version {change.number} does not match',
+            _STEP,
+        )
+    return target
+
+
+def _list_entries(source: version.Version) -> dict[str, records.Record]:
+    entries: list[records.Record] = [
+        *source.tables.routes,
+        *source.tables.pools,
+        *source.moves,
+        *source.holders,
+    ]
+    return {_format_key(entry): entry for entry in entries}
+
+
+def _format_key(entry: records.Record) -> str:
+    kind, attribute = _KEYS[type(entry)]
+    return f'{kind}/{getattr(entry, attribute)}'
+
+
+def _select(
+    entries: dict[str, records.Record],
+    entry_type: type[EntryT],
+) -> tuple[EntryT, ...]:
+    return tuple(
+        entry for entry in entries.values() if isinstance(entry, entry_type)
+    )
+
+
+_KEYS: typing.Final = types.MappingProxyType(
+    {
+        route.Route: ('route', 'name'),
+        pool.Pool: ('pool', 'name'),
+        version.Move: ('move', 'pool'),
+        version.HolderGroup: ('holders', 'name'),
+    },
+)
--- /dev/null
+++ b/shallotwharf/components/tables/pool.py
@@ -0,0 +1,50 @@
+"""Row of the table of pools."""
+
+from collections import abc
+
+from shallotwharf.components.tables import const
+from shallotwharf.core import records
+
+
+class MoveDeclaration(records.Record):
+    """An operator's wish to move a pool to a new version by a given time.
+
+    Attributes:
+        to_version: version of the service that takes over.
+        due_at: when it must serve all traffic, in milliseconds since the
+            epoch.
+    """
+
+    __slots__ = ('to_version', 'due_at')
+
+    def __init__(self, to_version: str, due_at: int) -> None:
+        self.to_version = to_version
+        self.due_at = due_at
+
+
+class Pool(records.Record):
+    """The upstreams behind a name: a service at given versions.
+
+    Attributes:
+        name: unique name.
+        service: service that the upstreams announce.
+        weights: percentage of traffic by version; the sum is 100.
+        slow_ms: an answer later than this counts as slow.
+        move: declared move, if any.
+    """
+
+    __slots__ = ('name', 'service', 'weights', 'slow_ms', 'move')
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        weights: abc.Mapping[str, int],
+        slow_ms: int = const.DEFAULT_SLOW_MS,
+        move: MoveDeclaration | None = None,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.weights = weights
+        self.slow_ms = slow_ms
+        self.move = move
--- /dev/null
+++ b/shallotwharf/components/tables/version.py
@@ -0,0 +1,167 @@
+"""Versions of the configuration: immutable, checked and swapped whole."""
+
+import typing
+from collections import abc
+
+from shallotwharf.components.tables import const, pool, route
+from shallotwharf.core import digest, records
+
+# States of a move.
+STATE_PENDING: typing.Final = 'pending'
+STATE_STEPPING: typing.Final = 'stepping'
+STATE_FULL: typing.Final = 'full'
+STATE_WATCHING: typing.Final = 'watching'
+STATE_DONE: typing.Final = 'done'
+STATE_HELD: typing.Final = 'held'
+STATE_TAKEN_BACK: typing.Final = 'taken_back'
+
+
+class Tables(records.Record):
+    """The two tables, ordered by name."""
+
+    __slots__ = ('routes', 'pools')
+
+    def __init__(
+        self,
+        routes: tuple[route.Route, ...] = (),
+        pools: tuple[pool.Pool, ...] = (),
+    ) -> None:
+        self.routes = tuple(sorted(routes, key=_read_name))
+        self.pools = tuple(sorted(pools, key=_read_name))
+
+
+class Move(records.Record):
+    """Progress of a declared move.
+
+    Attributes:
+        move_id: unique for each declaration.
+        pool: name of the pool.
+        from_version: version that serves the rest of the traffic.
+        to_version: version that takes over.
+        due_at: milliseconds since the epoch.
+        share: traffic of the new version in hundredths of a percent.
+        state: one of the `STATE_` names.
+        reason: why it is held or was taken back; empty otherwise.
+    """
+
+    __slots__ = (
+        'move_id',
+        'pool',
+        'from_version',
+        'to_version',
+        'due_at',
+        'share',
+        'state',
+        'reason',
+    )
+
+    def __init__(
+        self,
+        move_id: str,
+        pool: str,
+        from_version: str,
+        to_version: str,
+        due_at: int,
+        share: int = 0,
+        state: str = STATE_PENDING,
+        reason: str = '',
+    ) -> None:
+        self.move_id = move_id
+        self.pool = pool
+        self.from_version = from_version
+        self.to_version = to_version
+        self.due_at = due_at
+        self.share = share
+        self.state = state
+        self.reason = reason
+
+
+class Holder(records.Record):
+    """A node that keeps records of once-only calls, with its address."""
+
+    __slots__ = ('name', 'host', 'port')
+
+    def __init__(self, name: str, host: str, port: int) -> None:
+        self.name = name
+        self.host = host
+        self.port = port
+
+
+class HolderGroup(records.Record):
+    """Three nodes that keep the same records of once-only calls."""
+
+    __slots__ = ('name', 'members')
+
+    def __init__(self, name: str, members: tuple[Holder, ...]) -> None:
+        self.name = name
+        self.members = members
+
+
+class Version(records.Record):
+    """One accepted configuration.
+
+    Attributes:
+        number: grows by one with each accepted change; 0 is empty.
+        tables: routes and pools.
+        moves: progress of moves, ordered by pool; at most one a pool.
+        holders: holder groups, ordered by name.
+    """
+
+    __slots__ = ('number', 'tables', 'moves', 'holders')
+
+    def __init__(
+        self,
+        number: int,
+        tables: Tables,
+        moves: tuple[Move, ...] = (),
+        holders: tuple[HolderGroup, ...] = (),
+    ) -> None:
+        self.number = number
+        self.tables = tables
+        self.moves = tuple(sorted(moves, key=_read_pool))
+        self.holders = tuple(sorted(holders, key=_read_name))
+
+    def compute_digest(self) -> bytes:
+        """Return the SHA-256 digest of the whole version, 32 bytes."""
+        return digest.compute_digest(self)
+
+    def find_pool(self, name: str) -> pool.Pool | None:
+        """Return the pool of a name."""
+        for candidate in self.tables.pools:
+            if candidate.name == name:
+                return candidate
+        return None
+
+    def find_move(self, pool_name: str) -> Move | None:
+        """Return the move of a pool."""
+        for candidate in self.moves:
+            if candidate.pool == pool_name:
+                return candidate
+        return None
+
+
+def compute_shares(
+    served: pool.Pool,
+    move: Move | None,
+) -> abc.Mapping[str, int]:
+    """Return the share of each version in hundredths of a percent."""
+    if move is None or move.state == STATE_TAKEN_BACK:
+        return {
+            name: weight * const.FULL_SHARE // const.WEIGHT_SUM
+            for name, weight in served.weights.items()
+        }
+    return {
+        move.from_version: const.FULL_SHARE - move.share,
+        move.to_version: move.share,
+    }
+
+
+def _read_name(named: typing.Any) -> str:
+    return str(named.name)
+
+
+def _read_pool(move: Move) -> str:
+    return move.pool
+
+
+EMPTY: typing.Final = Version(0, Tables())
--- /dev/null
+++ b/shallotwharf/components/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Admission to the upstream beside a node."""
--- /dev/null
+++ b/shallotwharf/core/__init__.py
@@ -0,0 +1,1 @@
+"""Building blocks that know no component."""
--- /dev/null
+++ b/shallotwharf/core/dispatcher.py
@@ -0,0 +1,221 @@
+"""Delivery of messages to aggregates and execution of their effects."""
+
+import collections
+import typing
+
+from shallotwharf.core import (
+    aggregate,
+    clock,
+    counters,
+    effects,
+    errors,
+    logs,
+    messages,
+    ports,
+)
+
+_Pending: typing.TypeAlias = tuple[
+    aggregate.Aggregate,
+    messages.Message,
+    str,
+]
+
+
+class Dispatcher:
+    """Runs the aggregates of one process, one message at a time.
+
+    Effects of a message run in order, before the next message is handled.
+    A message that an effect produces is queued behind those that wait, so
+    that no aggregate is entered twice at once.
+    """
+
+    __slots__ = (
+        'name',
+        '_clock',
+        '_links',
+        '_storage',
+        '_timers',
+        '_requests',
+        '_counters',
+        '_aggregates',
+        '_routes',
+        '_queue',
+        '_draining',
+        '_executors',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        process_clock: clock.Clock,
+        links: ports.Links,
+        storage: ports.Storage | None,
+        timers: ports.Timers,
+        requests: ports.Requests,
+        process_counters: counters.Counters,
+    ) -> None:
+        self.name = name
+        self._clock = process_clock
+        self._links = links
+        self._storage = storage
+        self._timers = timers
+        self._requests = requests
+        self._counters = process_counters
+        self._aggregates: dict[str, aggregate.Aggregate] = {}
+        self._routes: dict[
+            type[messages.Message],
+            list[aggregate.Aggregate],
+        ] = {}
+        self._queue: collections.deque[_Pending] = collections.deque()
+        self._draining = False
+        self._executors: dict[type[effects.Effect], typing.Any] = {
+            effects.Send: self._send,
+            effects.Publish: self._publish,
+            effects.Store: self._store,
+            effects.SetTimer: self._set_timer,
+            effects.CancelTimer: self._cancel_timer,
+            effects.Answer: self._answer,
+            effects.Count: self._count,
+            effects.Report: self._report,
+        }
+
+    def start(self, *aggregates: aggregate.Aggregate) -> None:
+        """Register aggregates and run the effects of their start."""
+        for registered in aggregates:
+            self._aggregates[registered.name] = registered
+            for message_type in registered.handlers:
+                if message_type not in _TARGETED:
+                    self._routes.setdefault(message_type, []).append(
+                        registered,
+                    )
+        for started in aggregates:
+            self.execute(started, started.start(self._clock.read()))
+        self._drain()
+
+    def deliver(self, message: messages.Message, sender: str) -> None:
+        """Hand a message to the aggregates that accept its type."""
+        receivers = self._routes.get(type(message), ())
+        if not receivers:
+            self._counters.add('messages.unexpected')
+        for receiver in receivers:
+            self._queue.append((receiver, message, sender))
+        self._drain()
+
+    def fire_timer(self, aggregate_name: str, timer: str) -> None:
+        """Tell an aggregate that its timer is due."""
+        self._queue_own(
+            self._aggregates[aggregate_name],
+            messages.TimerFired(timer),
+        )
+        self._drain()
+
+    def execute(
+        self,
+        source: aggregate.Aggregate,
+        step: list[effects.Effect],
+    ) -> None:
+        """Run the effects of one step of an aggregate in order."""
+        for effect in step:
+            try:
+                self._executors[type(effect)](source, effect)
+            except errors.StorageError as error:
+                self._counters.add('storage.failed')
+                logs.write('storage_failed', error=error)
+                self._queue_own(source, messages.StoreFailed(str(error)))
+                return
+
+    def _drain(self) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        try:
+            self._handle_queue()
+        finally:
+            self._draining = False
+
+    def _handle_queue(self) -> None:
+        while self._queue:
+            receiver, message, sender = self._queue.popleft()
+            self.execute(
+                receiver,
+                receiver.handle(message, sender, self._clock.read()),
+            )
+
+    def _queue_own(
+        self,
+        receiver: aggregate.Aggregate,
+        message: messages.Message,
+    ) -> None:
+        if type(message) in receiver.handlers:
+            self._queue.append((receiver, message, self.name))
+
+    def _send(
+        self,
+        source: aggregate.Aggregate,
+        effect: effects.Send,
+    ) -> None:
+        if effect.peer == self.name:
+            self._publish(source, effects.Publish(effect.message))
+        elif not self._links.send(effect.peer, effect.message):
+            self._counters.add('messages.dropped')
+
+    def _publish(
+        self,
+        _source: aggregate.Aggregate,
+        effect: effects.Publish,
+    ) -> None:
+        for receiver in self._routes.get(type(effect.message), ()):
+            self._queue.append((receiver, effect.message, self.name))
+
+    def _store(
+        self,
+        _source: aggregate.Aggregate,
+        effect: effects.Store,
+    ) -> None:
+        if self._storage is None:
+            raise errors.StorageError('no data folder', 'store')
+        self._storage.execute(effect.operation)
+
+    def _set_timer(
+        self,
+        source: aggregate.Aggregate,
+        effect: effects.SetTimer,
+    ) -> None:
+        self._timers.set_timer(source.name, effect.name, effect.at)
+
+    def _cancel_timer(
+        self,
+        source: aggregate.Aggregate,
+        effect: effects.CancelTimer,
+    ) -> None:
+        self._timers.cancel_timer(source.name, effect.name)
+
+    def _answer(
+        self,
+        _source: aggregate.Aggregate,
+        effect: effects.Answer,
+    ) -> None:
+        self._requests.answer(effect.request, effect.reply)
+
+    def _count(
+        self,
+        _source: aggregate.Aggregate,
+        effect: effects.Count,
+    ) -> None:
+        self._counters.add(effect.name, effect.amount)
+
+    def _report(
+        self,
+        _source: aggregate.Aggregate,
+        effect: effects.Report,
+    ) -> None:
+        logs.write(effect.event, **effect.fields)
+
+
+# These go to the aggregate they belong to, not to all that accept them.
+_TARGETED: typing.Final = frozenset(
+    (
+        messages.TimerFired,
+        messages.StoreFailed,
+    )
+)
--- /dev/null
+++ b/shallotwharf/core/records.py
@@ -0,0 +1,52 @@
+"""Plain classes with slots that compare by value."""
+
+import typing
+
+_fields: dict[type, tuple[str, ...]] = {}
+
+
+def list_fields(record_type: type) -> tuple[str, ...]:
+    """Return the names of all slots of a class, base classes first."""
+    known = _fields.get(record_type)
+    if known is None:
+        names: list[str] = []
+        for parent in reversed(record_type.__mro__):
+            names.extend(parent.__dict__.get('__slots__', ()))
+        known = tuple(names)
+        _fields[record_type] = known
+    return known
+
+
+class Record:
+    """A value: its slots are set once by `__init__` and not changed."""
+
+    __slots__ = ()
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Record) or type(self) is not type(other):
+            return NotImplemented
+        return self.read_fields() == other.read_fields()
+
+    def __hash__(self) -> int:
+        return hash((type(self), self.read_fields()))
+
+    def __repr__(self) -> str:
+        pairs = zip(list_fields(type(self)), self.read_fields(), strict=True)
+        shown = ', '.join(f'{name}={field!r}' for name, field in pairs)
+        return f'{type(self).__name__}({shown})'
+
+    def read_fields(self) -> tuple[typing.Any, ...]:
+        """Return the values of all slots in the order of `list_fields`."""
+        return tuple(getattr(self, name) for name in list_fields(type(self)))
+
+    def replace(self, **changes: object) -> typing.Self:
+        """Return a copy with the named slots changed.
+
+        Raises:
+            TypeError: if a name is not an argument of `__init__`.
+        """
+        fields = dict(
+            zip(list_fields(type(self)), self.read_fields(), strict=True),
+        )
+        fields.update(changes)
+        return type(self)(**fields)
--- /dev/null
+++ b/shallotwharf/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Processes: components wired to adapters."""
--- /dev/null
+++ b/tests/core/test_dispatcher.py
@@ -0,0 +1,81 @@
+"""Guards against effects that run out of order or after a failed store."""
+
+from shallotwharf.core import aggregate, effects, messages, records
+from tests import fakes
+
+
+@messages.register('test.ping')
+class Ping(messages.Message):
+    __slots__ = ('number',)
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+
+
+class Operation(records.Record):
+    __slots__ = ()
+
+
+class Echo(aggregate.Aggregate):
+    name = 'echo'
+    handlers = {
+        Ping: 'receive',
+        messages.StoreFailed: 'fail',
+        messages.TimerFired: 'fire',
+    }
+
+    def __init__(self):
+        self.seen = []
+
+    def start(self, now):
+        return [effects.SetTimer('tick', now + 50)]
+
+    def receive(self, message, sender, now):
+        self.seen.append((sender, message.number))
+        if message.number == 0:
+            return []
+        return [
+            effects.Store(Operation()),
+            effects.Send('b', Ping(message.number - 1)),
+        ]
+
+    def fail(self, message, sender, now):
+        self.seen.append(('failed', message.reason))
+        return []
+
+    def fire(self, message, sender, now):
+        self.seen.append(('timer', now))
+        return []
+
+
+def start_pair(seed=1):
+    cluster = fakes.Cluster(seed)
+    echoes = {name: Echo() for name in 'ab'}
+    for name, echo in echoes.items():
+        cluster.start(name, echo)
+    return cluster, echoes
+
+
+def test_message_is_sent_after_the_store():
+    cluster, echoes = start_pair()
+    cluster.processes['a'].dispatcher.deliver(Ping(1), 'x')
+    cluster.run_for(100)
+    assert cluster.processes['a'].storage.operations == [Operation()]
+    assert ('a', 0) in echoes['b'].seen
+
+
+def test_failed_store_drops_the_message_behind_it():
+    cluster, echoes = start_pair()
+    cluster.processes['a'].storage.full = True
+    cluster.processes['a'].dispatcher.deliver(Ping(1), 'x')
+    cluster.run_for(100)
+    assert echoes['a'].seen[1][0] == 'failed'
+    assert ('a', 0) not in echoes['b'].seen
+
+
+def test_timer_of_a_killed_process_does_not_fire():
+    cluster, echoes = start_pair()
+    cluster.kill('a')
+    cluster.run_for(100)
+    assert echoes['a'].seen == []
+    assert echoes['b'].seen == [('timer', 1050)]
