--- /dev/null
+++ b/shallotwharf/components/delivery/feed.py
@@ -0,0 +1,214 @@
+"""Control's side of the delivery."""
+
+import random as random_module
+import typing
+from collections import abc
+
+from shallotwharf.components.delivery import (
+    const,
+    messages,
+    peers,
+    subscriptions,
+    summary,
+    transfer,
+)
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.core import aggregate, effects
+from shallotwharf.core import messages as core_messages
+
+_TICK: typing.Final = 'tick'
+
+
+class Feed(aggregate.Aggregate):
+    """Hands committed versions to relays and knows what is in force where.
+
+    Each control process has one. It relies on the replicated log to publish
+    `LeaderChanged(leading=True)` only after every committed version was
+    published in the same process.
+    """
+
+    __slots__ = (
+        '_own',
+        '_peers',
+        '_history',
+        '_subscriptions',
+        '_reports',
+    )
+
+    name = 'feed'
+    handlers = {
+        tables_messages.VersionAccepted: 'accept_version',
+        replica_messages.LeaderChanged: 'change_leader',
+        messages.PeerProgress: 'receive_progress',
+        messages.Subscribe: 'subscribe',
+        messages.DatacentreReport: 'receive_report',
+        messages.FloorQuery: 'answer_floor',
+        core_messages.TimerFired: 'tick',
+    }
+
+    def __init__(
+        self,
+        own: messages.ControlProcess,
+        voters: abc.Iterable[messages.ControlProcess],
+        datacentres: abc.Iterable[str],
+        random: random_module.Random,
+        admission: subscriptions.Admission | None = None,
+    ) -> None:
+        """Create a feed.
+
+        Args:
+            own: this control process.
+            voters: all voters of the log, `own` included.
+            datacentres: those that must report before a version counts as
+                in force everywhere.
+            random: source of the incarnation.
+            admission: rate of new subscriptions.
+        """
+        self._own = own
+        self._peers = peers.Peers(
+            own.name,
+            [voter.name for voter in voters],
+            random,
+        )
+        self._history = transfer.History(const.FEED_HISTORY)
+        self._subscriptions = subscriptions.Subscriptions(
+            self._history,
+            admission or subscriptions.Admission(),
+        )
+        self._reports = summary.Reports(datacentres)
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Tell the other voters that this process runs."""
+        return [*self._spread_progress(), self._set_timer(now)]
+
+    def summarize(self, number: int, now: int) -> summary.Summary:
+        """Return where a version is in force; for the operators."""
+        return self._reports.summarize(number, now)
+
+    def accept_version(
+        self,
+        message: tables_messages.VersionAccepted,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Keep a committed version and tell the other voters."""
+        accepted = message.accepted
+        self._history.add(accepted, accepted.compute_digest())
+        self._peers.note_held(accepted.number)
+        return [*self._spread_progress(), *self._offer(now)]
+
+    def change_leader(
+        self,
+        message: replica_messages.LeaderChanged,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Note whether this process leads the log."""
+        self._peers.note_leading(message.leading)
+        return self._spread_progress()
+
+    def receive_progress(
+        self,
+        message: messages.PeerProgress,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Hand out what a majority of the voters now know."""
+        step: list[effects.Effect] = []
+        if self._peers.receive(sender, message, now):
+            step.append(
+                effects.Send(sender, self._peers.make_progress(sender)),
+            )
+        return [*step, *self._offer(now)]
+
+    def subscribe(
+        self,
+        message: messages.Subscribe,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Admit or renew a subscription; it acknowledges what came."""
+        wait = self._subscriptions.renew(sender, message, now)
+        if wait:
+            return [
+                effects.Count('delivery.subscriptions_deferred'),
+                effects.Send(sender, messages.RetryLater(wait)),
+            ]
+        known = self._history.find_digest(message.number)
+        step: list[effects.Effect] = []
+        if known is not None and known != message.digest:
+            step.append(
+                effects.Report(
+                    'digest_conflict',
+                    {'peer': sender, 'number': message.number},
+                ),
+            )
+        step.append(effects.Send(sender, self._make_status(sender, now)))
+        released = self._peers.compute_released()
+        return [*step, *self._subscriptions.offer(sender, released, now)]
+
+    def receive_report(
+        self,
+        message: messages.DatacentreReport,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Keep what a relay knows of its data centre."""
+        self._reports.receive(sender, message, now)
+        return [effects.Send(sender, self._make_status(sender, now))]
+
+    def answer_floor(
+        self,
+        message: messages.FloorQuery,
+        sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """State the floor, unless this process may know too little."""
+        if not self._peers.settled:
+            return [effects.Count('delivery.floor_unsettled')]
+        local_number = max(
+            self._peers.compute_released(),
+            self._reports.find_held(self._own.datacentre),
+        )
+        reply = messages.FloorReply(
+            message.nonce,
+            self._peers.held,
+            local_number,
+        )
+        return [effects.Send(sender, reply)]
+
+    def tick(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Repeat the progress and resend what was not acknowledged."""
+        return [
+            *self._spread_progress(),
+            *self._offer(now),
+            self._set_timer(now),
+        ]
+
+    def _offer(self, now: int) -> list[effects.Effect]:
+        released = self._peers.compute_released()
+        return self._subscriptions.offer_all(released, now)
+
+    def _spread_progress(self) -> list[effects.Effect]:
+        return [
+            effects.Send(peer, self._peers.make_progress(peer))
+            for peer in self._peers.list_peers()
+        ]
+
+    def _make_status(self, relay: str, now: int) -> messages.FeedStatus:
+        return messages.FeedStatus(
+            self._history.find_last(self._peers.compute_released()),
+            self._peers.is_current(now),
+            now,
+            self._reports.find_held(self._own.datacentre),
+            self._subscriptions.has(relay),
+        )
+
+    def _set_timer(self, now: int) -> effects.Effect:
+        return effects.SetTimer(_TICK, now + const.FEED_TICK_MS)
--- /dev/null
+++ b/shallotwharf/components/delivery/fetching.py
@@ -0,0 +1,91 @@
+"""Fetching of versions from relays."""
+
+from collections import abc
+
+from shallotwharf.components.delivery import (
+    const,
+    exchange,
+    messages,
+    transfer,
+)
+from shallotwharf.components.tables import version
+from shallotwharf.core import effects, errors
+
+
+class Fetcher:
+    """Versions held by a process, and the request for the next one.
+
+    At most one request is under way; after `const.NODE_RETRY_MS` without
+    progress the next relay is asked. After a part that does not fit, the
+    whole version is asked for.
+
+    Attributes:
+        history: versions held.
+    """
+
+    __slots__ = (
+        'history',
+        '_assembly',
+        '_for_relay',
+        '_whole',
+        '_next_at',
+        '_attempts',
+    )
+
+    def __init__(self, limit: int, *, for_relay: bool) -> None:
+        self.history = transfer.History(limit)
+        self._assembly = transfer.Assembly()
+        self._for_relay = for_relay
+        self._whole = False
+        self._next_at = 0
+        self._attempts = 0
+
+    @property
+    def newest(self) -> version.Version:
+        """Return the version with the highest number."""
+        return self.history.newest
+
+    def take(
+        self,
+        part: messages.VersionPart,
+        now: int,
+    ) -> version.Version | None:
+        """Return the version that a part completes, if it is a newer one.
+
+        Raises:
+            ProtocolError: if the base is not held, if the digest of the
+                result does not match, or if there are too many parts.
+        """
+        if part.change.number <= self.newest.number:
+            return None
+        try:
+            built = self._assembly.build(part, self.history)
+        except errors.ProtocolError:
+            self._whole = True
+            self._next_at = now
+            raise
+        if built is not None:
+            self._whole = False
+            self._next_at = now
+            self._attempts = 0
+        return built
+
+    def read_base(self) -> tuple[int, bytes]:
+        """Return what to name as held: 0 if a whole version is needed."""
+        number = 0 if self._whole else self.newest.number
+        return number, self.history.find_digest(number) or b''
+
+    def fetch(
+        self,
+        ahead: abc.Sequence[str],
+        now: int,
+    ) -> list[effects.Effect]:
+        """Ask one of the relays that hold a newer version, in their order."""
+        if now < self._next_at or not ahead:
+            return []
+        chosen = ahead[self._attempts % len(ahead)]
+        self._attempts += 1
+        self._next_at = now + const.NODE_RETRY_MS
+        number, digest = self.read_base()
+        request = exchange.Fetch(number, digest, self._for_relay)
+        return [effects.Send(chosen, request)]
--- /dev/null
+++ b/shallotwharf/components/delivery/floors.py
@@ -0,0 +1,141 @@
+"""Floors from control: the lowest version a restarted process may use."""
+
+import random as random_module
+from collections import abc
+
+from shallotwharf.components.delivery import const, exchange, messages, quorum
+from shallotwharf.core import effects
+
+
+class ControlFloor:
+    """One query for a floor to all control processes.
+
+    The answers of a majority of the voters decide: a version is handed out
+    only after a majority knows it, so that the highest answer is at least
+    as high as any version that was active when the query began. After
+    `const.FLOOR_GRACE_MS` without a majority the control process of the own
+    data centre decides alone.
+    """
+
+    __slots__ = (
+        '_random',
+        '_control',
+        '_datacentre',
+        '_nonce',
+        '_purpose',
+        '_began_at',
+        '_replies',
+        '_next_at',
+        '_wait_ms',
+    )
+
+    def __init__(
+        self,
+        control: abc.Iterable[messages.ControlProcess],
+        datacentre: str,
+        random: random_module.Random,
+    ) -> None:
+        self._random = random
+        self._control = tuple(control)
+        self._datacentre = datacentre
+        self._nonce = 0
+        self._purpose = b''
+        self._began_at = 0
+        self._replies: dict[str, messages.FloorReply] = {}
+        self._next_at = 0
+        self._wait_ms = const.BACKOFF_FIRST_MS
+
+    def ask(self, now: int, purpose: bytes = b'') -> list[effects.Effect]:
+        """Repeat the query to the silent if due; begin one if none runs.
+
+        Answers to a query for another purpose do not count.
+        """
+        if not self._nonce or purpose != self._purpose:
+            self._begin(now, purpose)
+        if now < self._next_at:
+            return []
+        self._wait_ms = min(2 * self._wait_ms, const.FLOOR_RETRY_LAST_MS)
+        self._next_at = now + self._random.randint(
+            const.BACKOFF_FIRST_MS,
+            self._wait_ms,
+        )
+        return [
+            effects.Send(process.name, messages.FloorQuery(self._nonce))
+            for process in self._control
+            if process.name not in self._replies
+        ]
+
+    def receive(self, sender: str, reply: messages.FloorReply) -> None:
+        """Keep an answer to the query that runs."""
+        if self._nonce and reply.nonce == self._nonce:
+            self._replies[sender] = reply
+
+    def find(self, now: int, purpose: bytes = b'') -> int | None:
+        """Return the floor for a purpose once it is known."""
+        if purpose != self._purpose:
+            return None
+        majority = quorum.compute_majority(len(self._control))
+        if self._control and len(self._replies) >= majority:
+            return max(reply.number for reply in self._replies.values())
+        if self._nonce and now - self._began_at >= const.FLOOR_GRACE_MS:
+            return self._find_local()
+        return None
+
+    def _begin(self, now: int, purpose: bytes) -> None:
+        self._nonce = 1 + self._random.getrandbits(const.INCARNATION_BITS)
+        self._purpose = purpose
+        self._replies = {}
+        self._began_at = now
+        self._next_at = now
+        self._wait_ms = const.BACKOFF_FIRST_MS
+
+    def _find_local(self) -> int | None:
+        local = [
+            self._replies[process.name].local_number
+            for process in self._control
+            if process.datacentre == self._datacentre
+            and process.name in self._replies
+        ]
+        return max(local, default=None)
+
+
+class RelayFloors:
+    """One query for a floor to the relays of the own data centre.
+
+    Relays that agree on their group and meet each majority of it decide;
+    of three these are two.
+    """
+
+    __slots__ = ('_nonce', '_replies')
+
+    def __init__(self, random: random_module.Random) -> None:
+        self._nonce = 1 + random.getrandbits(const.INCARNATION_BITS)
+        self._replies: dict[str, exchange.RelayFloorReply] = {}
+
+    def ask(self, relays: abc.Iterable[str]) -> list[effects.Effect]:
+        """Ask the relays that have not answered as well as those that have.
+
+        An answer may be from a group that has changed since.
+        """
+        return [
+            effects.Send(relay, exchange.RelayFloorQuery(self._nonce))
+            for relay in relays
+        ]
+
+    def receive(
+        self,
+        sender: str,
+        reply: exchange.RelayFloorReply,
+    ) -> int | None:
+        """Return the floor once it is known."""
+        if reply.nonce != self._nonce:
+            return None
+        self._replies[sender] = reply
+        agreeing = [
+            known.number
+            for known in self._replies.values()
+            if known.epoch == reply.epoch
+        ]
+        if len(agreeing) < quorum.compute_intersecting(reply.size):
+            return None
+        return max(agreeing)
--- /dev/null
+++ b/shallotwharf/components/delivery/group.py
@@ -0,0 +1,298 @@
+"""The relays of a data centre as a quorum that changes its members.
+
+The relays under one epoch (their names and generations) form a quorum: a node
+applies a version that a majority under one epoch holds. A new set of relays
+takes over from an earlier one only with members that meet each majority of
+the earlier one, so that the new floor covers what nodes may have applied. A
+relay offers its earlier floor to one new set only, or two sets could take
+over from the same one. If too few of the earlier relays are left, the floor
+comes from control instead.
+"""
+
+import random as random_module
+import typing
+from collections import abc
+
+from shallotwharf.components.delivery import const, exchange, quorum
+from shallotwharf.core import digest
+
+_NO_EPOCH: typing.Final = b''
+
+
+class _Fellow:
+    """A fellow relay.
+
+    Attributes:
+        state: its last state.
+        heard_at: when that came.
+        proof: stamp that a state must be newer than if it comes from
+            another process of this name.
+        candidate: a process of this name that has yet to prove that it is
+            newer; 0 if none.
+        stamp: last stamp that was addressed to the own process.
+    """
+
+    __slots__ = ('state', 'heard_at', 'proof', 'candidate', 'stamp')
+
+    def __init__(self, proof: int) -> None:
+        self.state: exchange.RelayState | None = None
+        self.heard_at = 0
+        self.proof = proof
+        self.candidate = 0
+        self.stamp = 0
+
+    def read_incarnation(self) -> int:
+        """Return the process that the next message is addressed to."""
+        if self.candidate or self.state is None:
+            return self.candidate
+        return self.state.incarnation
+
+
+class Group:
+    """What a relay knows of its fellow relays, and its floor.
+
+    Attributes:
+        names: the relays in order of rank; empty if the own node is not one
+            of them.
+        epoch: the relays that the own node and its fellows agree on; empty
+            while they do not.
+        floored: whether the floor counts under this epoch.
+        floor: lowest version that a node may apply, as far as known.
+        agreed_at: when the epoch was agreed on.
+    """
+
+    __slots__ = (
+        'names',
+        'epoch',
+        'floored',
+        'floor',
+        'agreed_at',
+        '_own',
+        '_incarnation',
+        '_generation',
+        '_first_stamp',
+        '_last_stamp',
+        '_fellows',
+        '_digest',
+        '_previous',
+        '_previous_size',
+    )
+
+    def __init__(self, own: str, random: random_module.Random) -> None:
+        self.names: tuple[str, ...] = ()
+        self.epoch = _NO_EPOCH
+        self.floored = False
+        self.floor = 0
+        self.agreed_at = 0
+        self._own = own
+        self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
+        self._generation = 0
+        # Stamps of an earlier process of this name must not look valid.
+        self._first_stamp = 1 + random.getrandbits(const.STAMP_BITS)
+        self._last_stamp = self._first_stamp
+        self._fellows: dict[str, _Fellow] = {}
+        self._digest = _NO_EPOCH
+        self._previous = _NO_EPOCH
+        self._previous_size = 0
+
+    def change_names(self, names: tuple[str, ...], now: int) -> bool:
+        """Set the relays by rank; return whether they changed."""
+        if self._own not in names:
+            names = ()
+        if names == self.names:
+            return False
+        self._set_epoch(_NO_EPOCH, now)
+        self.names = names
+        self._digest = _compute_epoch(sorted(names))
+        self._generation += 1
+        if not names:
+            self._previous = _NO_EPOCH
+        for name in list(self._fellows):
+            if name not in names:
+                self._fellows.pop(name)
+        for name in names:
+            if name != self._own:
+                self._fellows.setdefault(name, _Fellow(self._last_stamp))
+        self._agree(now)
+        return True
+
+    def reset(self, now: int) -> None:
+        """Give up the floor's standing, as after a restart."""
+        self._set_epoch(_NO_EPOCH, now)
+        self._previous = _NO_EPOCH
+        self._generation += 1
+        self._agree(now)
+
+    def note_floor(self, number: int) -> None:
+        """Raise the floor; a held version is never forgotten."""
+        self.floor = max(self.floor, number)
+
+    def accept_floor(self, number: int) -> None:
+        """Let the floor count, with what control stated."""
+        self.note_floor(number)
+        self.floored = bool(self.epoch)
+
+    def receive(
+        self,
+        sender: str,
+        state: exchange.RelayState,
+        now: int,
+    ) -> bool:
+        """Note a fellow's state; return whether it needs an answer now."""
+        fellow = self._fellows.get(sender)
+        if fellow is None:
+            return False
+        if state.seen == self._incarnation:
+            fellow.stamp = max(fellow.stamp, state.stamp)
+        if not self._accepts(fellow, state):
+            known = fellow.read_incarnation()
+            fellow.candidate = state.incarnation
+            return known != state.incarnation
+        fellow.candidate = 0
+        fellow.proof = max(fellow.proof, state.echo)
+        known_state = fellow.state
+        if known_state is not None and not _is_newer(state, known_state):
+            return False
+        fellow.state = state
+        fellow.heard_at = now
+        self._agree(now)
+        self._take_over()
+        if known_state is None:
+            return True
+        return state.standing.epoch != known_state.standing.epoch
+
+    def make_state(
+        self,
+        peer: str,
+        number: int,
+        connected: bool,
+    ) -> exchange.RelayState:
+        """Return what to tell a fellow."""
+        fellow = self._fellows[peer]
+        self._last_stamp += 1
+        return exchange.RelayState(
+            self._digest,
+            self._incarnation,
+            self._generation,
+            exchange.Standing(
+                self.epoch,
+                self.floored,
+                self.floor,
+                self._previous,
+                self._previous_size,
+            ),
+            number,
+            connected,
+            self._last_stamp,
+            fellow.stamp,
+            fellow.read_incarnation(),
+        )
+
+    def list_fellows(self) -> list[str]:
+        """Return the names of the other relays."""
+        return list(self._fellows)
+
+    def list_heard(self, now: int) -> list[tuple[str, exchange.RelayState]]:
+        """Return the states of the fellows heard lately, by rank."""
+        heard = []
+        for name in self.names:
+            fellow = self._fellows.get(name)
+            if fellow is None or fellow.state is None:
+                continue
+            if now - fellow.heard_at < const.SILENCE_MS:
+                heard.append((name, fellow.state))
+        return heard
+
+    def is_fed(self, now: int) -> bool:
+        """Tell whether control feeds a fellow of a higher rank."""
+        before = self.names[: self.names.index(self._own)]
+        return any(
+            name in before and state.connected
+            for name, state in self.list_heard(now)
+        )
+
+    def _accepts(
+        self,
+        fellow: _Fellow,
+        state: exchange.RelayState,
+    ) -> bool:
+        """Tell whether a state is of the newest process of its name.
+
+        A process that is not known must return a stamp that was addressed
+        to it and is newer than what the known one returned; a late message
+        of an earlier process cannot.
+        """
+        known = fellow.state
+        if known is not None and known.incarnation == state.incarnation:
+            return True
+        return fellow.proof < state.echo <= self._last_stamp
+
+    def _agree(self, now: int) -> None:
+        generations = {self._own: (self._incarnation, self._generation)}
+        for name, fellow in self._fellows.items():
+            state = fellow.state
+            if state is not None and state.group == self._digest:
+                generations[name] = (state.incarnation, state.generation)
+        if not self.names or len(generations) < len(self.names):
+            return
+        epoch = _compute_epoch(
+            f'{member} {generation}'
+            for member, generation in sorted(generations.items())
+        )
+        if epoch != self.epoch:
+            self._set_epoch(epoch, now)
+            self._take_over()
+
+    def _set_epoch(self, epoch: bytes, now: int) -> None:
+        if self.floored:
+            self._previous = self.epoch
+            self._previous_size = len(self.names)
+        elif self.epoch:
+            # The earlier floor was offered under this epoch already.
+            self._previous = _NO_EPOCH
+        self.floored = False
+        self.epoch = epoch
+        self.agreed_at = now
+
+    def _take_over(self) -> None:
+        if self.floored or not self.epoch:
+            return
+        agreeing = [
+            fellow.state.standing
+            for fellow in self._fellows.values()
+            if fellow.state is not None
+            and fellow.state.standing.epoch == self.epoch
+        ]
+        floors = [standing.floor for standing in agreeing if standing.floored]
+        if not floors and self._previous:
+            floors = self._join_offers(agreeing)
+        if floors:
+            self.accept_floor(max(floors))
+
+    def _join_offers(
+        self,
+        agreeing: abc.Iterable[exchange.Standing],
+    ) -> list[int]:
+        floors = [
+            self.floor,
+            *(
+                standing.floor
+                for standing in agreeing
+                if standing.previous == self._previous
+            ),
+        ]
+        needed = quorum.compute_intersecting(self._previous_size)
+        return floors if len(floors) >= needed else []
+
+
+def _is_newer(
+    state: exchange.RelayState,
+    known: exchange.RelayState,
+) -> bool:
+    if state.incarnation != known.incarnation:
+        return True
+    return state.stamp > known.stamp
+
+
+def _compute_epoch(parts: abc.Iterable[str]) -> bytes:
+    return digest.compute_digest(*parts)[: const.EPOCH_BYTES]
--- /dev/null
+++ b/shallotwharf/components/delivery/relay.py
@@ -0,0 +1,344 @@
+"""The relay of a data centre: a node that passes versions on."""
+
+import random as random_module
+import typing
+from collections import abc
+
+from shallotwharf.components.delivery import (
+    census,
+    const,
+    exchange,
+    fetching,
+    floors,
+    group,
+    messages,
+    reporter,
+    uplink,
+)
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.core import aggregate, effects, errors, rendezvous
+from shallotwharf.core import messages as core_messages
+
+_TICK: typing.Final = 'tick'
+
+
+class Relay(aggregate.Aggregate):
+    """Holds versions for its data centre while it is one of its relays.
+
+    Every node has one. It works while the node is among the first
+    `const.RELAYS` members by rendezvous hashing.
+    """
+
+    __slots__ = (
+        '_own',
+        '_fetcher',
+        '_group',
+        '_uplink',
+        '_census',
+        '_reporter',
+        '_control_floor',
+        '_ticked_at',
+        '_fellow_beat_at',
+        '_announced',
+    )
+
+    name = 'relay'
+    handlers = {
+        member_messages.MembersChanged: 'change_members',
+        exchange.RelayState: 'receive_fellow',
+        exchange.NodeState: 'receive_node',
+        exchange.Fetch: 'serve',
+        messages.RelayPart: 'receive_part',
+        messages.FeedStatus: 'receive_status',
+        messages.RetryLater: 'retry_later',
+        messages.FloorReply: 'receive_floor',
+        exchange.RelayFloorQuery: 'answer_floor',
+        core_messages.TimerFired: 'tick',
+    }
+
+    def __init__(
+        self,
+        own: member_messages.Member,
+        control: abc.Iterable[messages.ControlProcess],
+        random: random_module.Random,
+    ) -> None:
+        """Create a relay.
+
+        Args:
+            own: the node it runs on.
+            control: all voters of the log.
+            random: source of incarnations and of jitter.
+        """
+        processes = tuple(control)
+        self._own = own
+        self._fetcher = fetching.Fetcher(
+            const.RELAY_HISTORY,
+            for_relay=True,
+        )
+        self._group = group.Group(own.name, random)
+        self._uplink = uplink.Uplink(own, processes, random)
+        self._census = census.Census()
+        self._reporter = reporter.Reporter(own.datacentre, processes, random)
+        self._control_floor = floors.ControlFloor(
+            processes,
+            own.datacentre,
+            random,
+        )
+        self._ticked_at = 0
+        self._fellow_beat_at = 0
+        self._announced: tuple[int, int, bytes] = (0, 0, b'')
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for the members of the data centre."""
+        self._census.start(now)
+        return []
+
+    def handle(
+        self,
+        message: core_messages.Message,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Apply a message, then pass on what it changed.
+
+        A relay that was frozen may have been replaced meanwhile. It gives
+        up its floor before it handles what waited for it.
+        """
+        if self._is_active() and now - self._ticked_at > const.FREEZE_MS:
+            self._ticked_at = now
+            self._group.reset(now)
+        step = super().handle(message, sender, now)
+        if self._is_active():
+            step.extend(self._pass_on(now))
+        return step
+
+    def change_members(
+        self,
+        message: member_messages.MembersChanged,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Begin or end to work as a relay."""
+        names = [member.name for member in message.members]
+        ranked = rendezvous.rank_members(self._own.datacentre, names)
+        self._census.set_members(names)
+        was_active = self._is_active()
+        if not self._group.change_names(tuple(ranked[: const.RELAYS]), now):
+            return []
+        if not self._is_active():
+            self._uplink.close()
+            return [effects.CancelTimer(_TICK)]
+        step = self._tell_fellows(now)
+        if not was_active:
+            self._ticked_at = now
+            self._reporter.start(now)
+            step.append(self._set_timer(now))
+        return step
+
+    def receive_fellow(
+        self,
+        message: exchange.RelayState,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note where a fellow relay stands."""
+        if self._group.receive(sender, message, now):
+            return [self._tell_fellow(sender, now)]
+        return []
+
+    def receive_node(
+        self,
+        message: exchange.NodeState,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note which version a node has active, and answer what is held."""
+        if not self._is_active():
+            return []
+        self._census.receive(sender, message, now)
+        return [effects.Send(sender, self._make_claim(now))]
+
+    def serve(
+        self,
+        message: exchange.Fetch,
+        sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Send the version that is held."""
+        history = self._fetcher.history
+        target = history.newest.number
+        if target <= message.number:
+            return []
+        wrap = messages.RelayPart if message.for_relay else exchange.NodePart
+        parts = history.make_parts(message.number, message.digest, target)
+        return [effects.Send(sender, wrap(part)) for part in parts]
+
+    def receive_part(
+        self,
+        message: messages.RelayPart,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Hold a version once it is whole."""
+        try:
+            built = self._fetcher.take(message.part, now)
+        except errors.ProtocolError as error:
+            return [
+                effects.Count('delivery.relay_part_refused'),
+                effects.Report('relay_part_refused', {'error': error}),
+                *self._acknowledge(now),
+            ]
+        if built is None:
+            return []
+        return [*self._acknowledge(now), *self._tell_fellows(now)]
+
+    def receive_status(
+        self,
+        message: messages.FeedStatus,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note the answer of a control process."""
+        self._uplink.receive_status(sender, message, now)
+        self._reporter.receive_status(sender, message, now)
+        return []
+
+    def retry_later(
+        self,
+        message: messages.RetryLater,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Wait before the next subscription."""
+        self._uplink.retry_later(sender, message, now)
+        return []
+
+    def receive_floor(
+        self,
+        message: messages.FloorReply,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note a floor that control states."""
+        self._control_floor.receive(sender, message)
+        self._check_floor(now)
+        return []
+
+    def answer_floor(
+        self,
+        message: exchange.RelayFloorQuery,
+        sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """State the floor if there is one."""
+        if not self._group.floored:
+            return []
+        reply = exchange.RelayFloorReply(
+            message.nonce,
+            self._group.floor,
+            self._group.epoch,
+            len(self._group.names),
+        )
+        return [effects.Send(sender, reply)]
+
+    def tick(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Repeat what may have been lost."""
+        if not self._is_active():
+            return []
+        self._ticked_at = now
+        step: list[effects.Effect] = [self._set_timer(now)]
+        if now >= self._fellow_beat_at:
+            step.extend(self._tell_fellows(now))
+        step.extend(self._keep_uplink(now))
+        step.extend(self._seek_floor(now))
+        return step
+
+    def _is_active(self) -> bool:
+        return bool(self._group.names)
+
+    def _pass_on(self, now: int) -> list[effects.Effect]:
+        step = self._fetcher.fetch(self._list_ahead(now), now)
+        held = self._fetcher.newest.number
+        step.extend(self._reporter.report(self._census, held, now))
+        claim = self._make_claim(now)
+        announced = (claim.number, claim.claimed, claim.epoch)
+        if announced != self._announced:
+            self._announced = announced
+            step.extend(
+                effects.Send(member, claim)
+                for member in self._census.list_members()
+            )
+        return step
+
+    def _make_claim(self, now: int) -> exchange.RelayHolds:
+        held = self._fetcher.newest.number
+        if not self._group.floored:
+            return exchange.RelayHolds(held, 0, b'', 0, now)
+        claimed = self._reporter.limit_claim(held, now)
+        self._group.note_floor(claimed)
+        return exchange.RelayHolds(
+            held,
+            claimed,
+            self._group.epoch,
+            len(self._group.names),
+            now,
+        )
+
+    def _tell_fellows(self, now: int) -> list[effects.Effect]:
+        self._fellow_beat_at = now + const.FELLOW_BEAT_MS
+        return [
+            self._tell_fellow(fellow, now)
+            for fellow in self._group.list_fellows()
+        ]
+
+    def _tell_fellow(self, fellow: str, now: int) -> effects.Effect:
+        state = self._group.make_state(
+            fellow,
+            self._fetcher.newest.number,
+            self._uplink.is_connected(now),
+        )
+        return effects.Send(fellow, state)
+
+    def _list_ahead(self, now: int) -> list[str]:
+        """Return the fellows that hold a newer version, the first one first.
+
+        What a fellow of the data centre holds need not cross to it again.
+        """
+        held = self._fetcher.newest.number
+        return [
+            fellow
+            for fellow, state in self._group.list_heard(now)
+            if state.number > held
+        ]
+
+    def _keep_uplink(self, now: int) -> list[effects.Effect]:
+        if self._group.is_fed(now):
+            self._uplink.close()
+            return []
+        return self._uplink.tick(*self._fetcher.read_base(), now)
+
+    def _acknowledge(self, now: int) -> list[effects.Effect]:
+        return self._uplink.acknowledge(*self._fetcher.read_base(), now)
+
+    def _seek_floor(self, now: int) -> list[effects.Effect]:
+        if self._group.floored or not self._group.epoch:
+            return []
+        if now - self._group.agreed_at < const.VIEW_SETTLE_MS:
+            return []
+        self._check_floor(now)
+        return self._control_floor.ask(now, self._group.epoch)
+
+    def _check_floor(self, now: int) -> None:
+        if self._group.floored or not self._group.epoch:
+            return
+        floor = self._control_floor.find(now, self._group.epoch)
+        if floor is not None:
+            self._group.accept_floor(floor)
+
+    def _set_timer(self, now: int) -> effects.Effect:
+        return effects.SetTimer(_TICK, now + const.RELAY_TICK_MS)
--- /dev/null
+++ b/shallotwharf/components/delivery/reporter.py
@@ -0,0 +1,128 @@
+"""Reports of a relay to control, and what control has noted."""
+
+import random as random_module
+from collections import abc
+
+from shallotwharf.components.delivery import census, const, messages
+from shallotwharf.core import effects
+
+
+class Reporter:
+    """Sends reports to every control process.
+
+    A change is reported at once, but not more often than every
+    `const.REPORT_SPACING_MS`; without a change there is a slow heartbeat.
+
+    The control process of the own data centre notes which version a relay
+    holds before nodes may apply it, so that it can state a floor when the
+    data centre is cut off and restarted. One that is silent is not waited
+    for.
+    """
+
+    __slots__ = (
+        '_datacentre',
+        '_random',
+        '_control',
+        '_local',
+        '_stamps',
+        '_noted',
+        '_local_heard_at',
+        '_reported',
+        '_sent_at',
+        '_beat_at',
+    )
+
+    def __init__(
+        self,
+        datacentre: str,
+        control: abc.Iterable[messages.ControlProcess],
+        random: random_module.Random,
+    ) -> None:
+        self._datacentre = datacentre
+        self._random = random
+        self._control = tuple(control)
+        local = [
+            process.name
+            for process in self._control
+            if process.datacentre == datacentre
+        ]
+        self._local = local[0] if local else ''
+        self._stamps: dict[str, int] = {}
+        self._noted = 0
+        self._local_heard_at = 0
+        self._reported = -1
+        self._sent_at = 0
+        self._beat_at = 0
+
+    def start(self, now: int) -> None:
+        """Begin to report; wait for the local control process at first."""
+        self._local_heard_at = now
+        self._reported = -1
+        self._sent_at = now - const.REPORT_SPACING_MS
+        self._beat_at = now
+
+    def receive_status(
+        self,
+        sender: str,
+        status: messages.FeedStatus,
+        now: int,
+    ) -> None:
+        """Note the stamp for the next report and what was noted."""
+        self._stamps[sender] = max(
+            self._stamps.get(sender, 0),
+            status.stamp,
+        )
+        if sender == self._local:
+            self._noted = status.noted
+            self._local_heard_at = now
+
+    def limit_claim(self, held: int, now: int) -> int:
+        """Return which version nodes may count on."""
+        if not self._local:
+            return held
+        if now - self._local_heard_at >= const.SILENCE_MS:
+            return held
+        return min(held, self._noted)
+
+    def report(
+        self,
+        nodes: census.Census,
+        held: int,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Return the reports that are due."""
+        changed = nodes.changed or self._reported != held
+        spaced = now - self._sent_at >= const.REPORT_SPACING_MS
+        if now >= self._beat_at or (changed and spaced):
+            self._sent_at = now
+            self._beat_at = now + self._random.randint(
+                const.REPORT_BEAT_MS // 2,
+                const.REPORT_BEAT_MS,
+            )
+            self._reported = held
+            nodes.changed = False
+            return self._make_reports(nodes, held, now, self._list_control())
+        if self._reported < held and self._local:
+            # Nodes wait for this report.
+            self._reported = held
+            return self._make_reports(nodes, held, now, [self._local])
+        return []
+
+    def _list_control(self) -> list[str]:
+        return [process.name for process in self._control]
+
+    def _make_reports(
+        self,
+        nodes: census.Census,
+        held: int,
+        now: int,
+        receivers: abc.Iterable[str],
+    ) -> list[effects.Effect]:
+        report = nodes.make_report(self._datacentre, held, 0, now)
+        return [
+            effects.Send(
+                receiver,
+                report.replace(echo=self._stamps.get(receiver, 0)),
+            )
+            for receiver in receivers
+        ]
--- /dev/null
+++ b/shallotwharf/components/delivery/subscriber.py
@@ -0,0 +1,311 @@
+"""The node's side of the delivery: which version is in force here."""
+
+import random as random_module
+import typing
+from collections import abc
+
+from shallotwharf.components.delivery import (
+    claims,
+    const,
+    exchange,
+    fetching,
+    floors,
+    messages,
+)
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.tables import document, version
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.core import aggregate, effects, errors, rendezvous, schema
+from shallotwharf.core import messages as core_messages
+
+_TICK: typing.Final = 'tick'
+
+
+class Subscriber(aggregate.Aggregate):
+    """Applies versions that a majority of the relays hold.
+
+    It applies nothing before it knows its floor, the lowest version that an
+    earlier process of this node may have applied, and nothing below it.
+    """
+
+    __slots__ = (
+        '_own',
+        '_random',
+        '_relays',
+        '_fetcher',
+        '_active',
+        '_floor',
+        '_claims',
+        '_refused',
+        '_reason',
+        '_incarnation',
+        '_sequence',
+        '_started_at',
+        '_beat_at',
+        '_relay_floors',
+        '_control_floor',
+    )
+
+    name = 'subscriber'
+    handlers = {
+        member_messages.MembersChanged: 'change_members',
+        exchange.RelayHolds: 'receive_claim',
+        exchange.NodePart: 'receive_part',
+        exchange.RelayFloorReply: 'receive_relay_floor',
+        messages.FloorReply: 'receive_control_floor',
+        core_messages.TimerFired: 'tick',
+    }
+
+    def __init__(
+        self,
+        own: member_messages.Member,
+        control: abc.Iterable[messages.ControlProcess],
+        random: random_module.Random,
+    ) -> None:
+        """Create a subscriber.
+
+        Args:
+            own: the node it runs on.
+            control: all voters of the log.
+            random: source of the incarnation and of jitter.
+        """
+        self._own = own
+        self._random = random
+        self._relays: tuple[str, ...] = ()
+        self._fetcher = fetching.Fetcher(
+            const.NODE_HISTORY,
+            for_relay=False,
+        )
+        self._active = version.EMPTY
+        self._floor: int | None = None
+        self._claims = claims.Claims()
+        self._refused = 0
+        self._reason = ''
+        self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
+        self._sequence = 0
+        self._started_at = 0
+        self._beat_at = 0
+        self._relay_floors = floors.RelayFloors(random)
+        self._control_floor = floors.ControlFloor(
+            control,
+            own.datacentre,
+            random,
+        )
+
+    @property
+    def active(self) -> version.Version:
+        """Return the version in force; number 0 if there is none yet."""
+        return self._active
+
+    @property
+    def floor(self) -> int | None:
+        """Return the lowest version it may apply; None if not known."""
+        return self._floor
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for the relays."""
+        self._started_at = now
+        return [self._set_timer(now)]
+
+    def change_members(
+        self,
+        message: member_messages.MembersChanged,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note who the relays are, and greet those that are new."""
+        ranked = rendezvous.rank_members(
+            self._own.datacentre,
+            [member.name for member in message.members],
+        )
+        relays = tuple(ranked[: const.RELAYS])
+        joined = [relay for relay in relays if relay not in self._relays]
+        self._relays = relays
+        self._claims.keep(relays)
+        return [self._make_state(relay) for relay in joined]
+
+    def receive_claim(
+        self,
+        message: exchange.RelayHolds,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note what a relay holds; fetch what is newer."""
+        if sender not in self._relays:
+            return []
+        is_first = self._claims.receive(sender, message)
+        step = [*self._apply(now), *self._fetch(now)]
+        if is_first and not step:
+            # The relay learns the age of this state from its stamp.
+            step.append(self._make_state(sender))
+        return step
+
+    def receive_part(
+        self,
+        message: exchange.NodePart,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Hold a version once it is whole."""
+        try:
+            built = self._fetcher.take(message.part, now)
+        except errors.ProtocolError as error:
+            return [
+                *self._refuse(message.part.change.number, error),
+                *self._fetch(now),
+            ]
+        if built is None:
+            return []
+        return self._apply(now)
+
+    def receive_relay_floor(
+        self,
+        message: exchange.RelayFloorReply,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note a floor that a relay states."""
+        if self._floor is not None or sender not in self._relays:
+            return []
+        return self._set_floor(
+            self._relay_floors.receive(sender, message),
+            now,
+        )
+
+    def receive_control_floor(
+        self,
+        message: messages.FloorReply,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note a floor that control states."""
+        if self._floor is not None:
+            return []
+        self._control_floor.receive(sender, message)
+        return self._set_floor(self._control_floor.find(now), now)
+
+    def tick(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Repeat what may have been lost."""
+        step: list[effects.Effect] = []
+        if self._floor is None:
+            step.extend(self._seek_floor(now))
+        step.extend(self._fetch(now))
+        if now >= self._beat_at or self._is_pending():
+            step.extend(self._tell_relays(now))
+        wait = const.NODE_BEAT_MS
+        if self._is_pending():
+            wait = const.NODE_RETRY_MS
+        jitter = self._random.randint(0, wait // 4)
+        step.append(self._set_timer(now + wait - jitter))
+        return step
+
+    def _list_ahead(self) -> list[str]:
+        """Return the relays that hold a newer version.
+
+        Their order differs from node to node, which spreads the load.
+        """
+        return self._claims.list_ahead(
+            self._fetcher.newest.number,
+            rendezvous.rank_members(self._own.name, self._relays),
+        )
+
+    def _is_pending(self) -> bool:
+        """Tell whether anything is awaited that may have been lost."""
+        if self._floor is None or self._list_ahead():
+            return True
+        number = self._fetcher.newest.number
+        return number not in {self._active.number, self._refused}
+
+    def _seek_floor(self, now: int) -> list[effects.Effect]:
+        step = self._relay_floors.ask(self._relays)
+        if now - self._started_at >= const.CONTROL_FLOOR_DELAY_MS:
+            step.extend(self._control_floor.ask(now))
+            step.extend(self._set_floor(self._control_floor.find(now), now))
+        return step
+
+    def _set_floor(
+        self,
+        floor: int | None,
+        now: int,
+    ) -> list[effects.Effect]:
+        if floor is None:
+            return []
+        self._floor = floor
+        return [
+            effects.Report('floor_known', {'number': floor}),
+            *self._apply(now),
+        ]
+
+    def _fetch(self, now: int) -> list[effects.Effect]:
+        step = self._fetcher.fetch(self._list_ahead(), now)
+        if step:
+            step.append(self._set_timer(now + const.NODE_RETRY_MS))
+        return step
+
+    def _apply(self, now: int) -> list[effects.Effect]:
+        """Swap the candidate in if it may be applied."""
+        candidate = self._fetcher.newest
+        if not self._may_apply(candidate.number):
+            return []
+        try:
+            document.check_tables(candidate.tables)
+        except ExceptionGroup as group:
+            return self._refuse(candidate.number, group)
+        self._active = candidate
+        self._reason = ''
+        return [
+            effects.Publish(tables_messages.VersionApplied(candidate)),
+            effects.Count('delivery.versions_applied'),
+            *self._tell_relays(now),
+        ]
+
+    def _may_apply(self, number: int) -> bool:
+        if self._floor is None or number < self._floor:
+            return False
+        if number <= self._active.number or number == self._refused:
+            return False
+        return self._claims.is_held(number)
+
+    def _refuse(
+        self,
+        number: int,
+        error: Exception,
+    ) -> list[effects.Effect]:
+        """Keep the active version and tell the relays why."""
+        self._reason = '; '.join(schema.format_errors(error))
+        self._reason = self._reason[: const.MAX_REASON_LENGTH]
+        if number == self._fetcher.newest.number:
+            self._refused = number
+        return [
+            effects.Count('delivery.versions_refused'),
+            effects.Report(
+                'version_refused',
+                {'number': number, 'reason': self._reason},
+            ),
+            *(self._make_state(relay) for relay in self._relays),
+        ]
+
+    def _tell_relays(self, now: int) -> list[effects.Effect]:
+        self._beat_at = now + const.NODE_BEAT_MS // 2
+        return [self._make_state(relay) for relay in self._relays]
+
+    def _make_state(self, relay: str) -> effects.Effect:
+        self._sequence += 1
+        return effects.Send(
+            relay,
+            exchange.NodeState(
+                self._active.number,
+                self._reason,
+                self._incarnation,
+                self._sequence,
+                self._claims.read_stamp(relay),
+            ),
+        )
+
+    def _set_timer(self, at: int) -> effects.Effect:
+        return effects.SetTimer(_TICK, at)
--- /dev/null
+++ b/shallotwharf/components/delivery/subscriptions.py
@@ -0,0 +1,120 @@
+"""Relays that a control process feeds."""
+
+from collections import abc
+
+from shallotwharf.components.delivery import const, messages, transfer
+from shallotwharf.core import clock, effects
+
+
+class _Subscription:
+    __slots__ = ('number', 'digest', 'pending', 'sent_at', 'renewed_at')
+
+    def __init__(self, now: int) -> None:
+        self.number = 0
+        self.digest = b''
+        self.pending = 0
+        self.sent_at = 0
+        self.renewed_at = now
+
+
+class Admission:
+    """Token bucket for new subscriptions."""
+
+    __slots__ = ('_per_second', '_burst', '_tokens', '_filled_at')
+
+    def __init__(
+        self,
+        per_second: int = const.ADMISSIONS_PER_SECOND,
+        burst: int = const.ADMISSION_BURST,
+    ) -> None:
+        self._per_second = per_second
+        self._burst = burst
+        self._tokens = float(burst)
+        self._filled_at: int | None = None
+
+    def admit(self, now: int) -> int:
+        """Return 0 if admitted, else after how many ms to ask again."""
+        if self._filled_at is not None:
+            elapsed = now - self._filled_at
+            gained = elapsed * self._per_second / clock.SECOND_MS
+            self._tokens = min(self._tokens + gained, self._burst)
+        self._filled_at = now
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return 0
+        missing = 1 - self._tokens
+        return int(missing * clock.SECOND_MS / self._per_second) + 1
+
+
+class Subscriptions:
+    """The subscribed relays; each has at most one version pending."""
+
+    __slots__ = ('_history', '_admission', '_relays')
+
+    def __init__(
+        self,
+        history: transfer.History,
+        admission: Admission,
+    ) -> None:
+        self._history = history
+        self._admission = admission
+        self._relays: dict[str, _Subscription] = {}
+
+    def renew(
+        self,
+        relay: str,
+        request: messages.Subscribe,
+        now: int,
+    ) -> int:
+        """Note what a relay holds; return the wait if it is not admitted."""
+        subscription = self._relays.get(relay)
+        if subscription is None:
+            wait = self._admission.admit(now)
+            if wait:
+                return wait
+            subscription = _Subscription(now)
+            self._relays[relay] = subscription
+        subscription.renewed_at = now
+        subscription.number = request.number
+        subscription.digest = request.digest
+        if request.number >= subscription.pending:
+            subscription.pending = 0
+        return 0
+
+    def has(self, relay: str) -> bool:
+        """Tell whether a relay is subscribed."""
+        return relay in self._relays
+
+    def offer(self, relay: str, limit: int, now: int) -> list[effects.Effect]:
+        """Send a relay the newest version unless one is pending."""
+        subscription = self._relays[relay]
+        if subscription.pending:
+            if now - subscription.sent_at < const.RESEND_MS:
+                return []
+        target = self._history.find_last(limit)
+        if subscription.number >= target:
+            return []
+        subscription.pending = target
+        subscription.sent_at = now
+        parts = self._history.make_parts(
+            subscription.number,
+            subscription.digest,
+            target,
+        )
+        return [
+            effects.Count('delivery.parts_sent', len(parts)),
+            *(effects.Send(relay, messages.RelayPart(part)) for part in parts),
+        ]
+
+    def offer_all(self, limit: int, now: int) -> list[effects.Effect]:
+        """Send to all relays what they lack; forget those that are gone."""
+        step: list[effects.Effect] = []
+        for relay in self._list_live(now):
+            step.extend(self.offer(relay, limit, now))
+        return step
+
+    def _list_live(self, now: int) -> abc.Iterable[str]:
+        for relay, subscription in list(self._relays.items()):
+            if now - subscription.renewed_at > const.SUBSCRIPTION_EXPIRY_MS:
+                self._relays.pop(relay)
+        return list(self._relays)
--- /dev/null
+++ b/tests/components/delivery/world.py
@@ -0,0 +1,331 @@
+"""Control, relays and nodes on a fake network, with checks of invariants.
+
+A small stand-in for the replicated log gives committed versions to the
+feeds: the leader is a control process that reaches a majority, has every
+committed version when it takes over, and passes them on with a delay. A
+stand-in for the membership tells live nodes of a data centre of each other
+within `VIEW_MS`.
+"""
+
+import collections
+import random
+
+from shallotwharf.adapters import codec
+from shallotwharf.components.delivery import feed, messages, relay, subscriber
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.tables import (
+    document,
+    pool,
+    route,
+    version,
+)
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.core import aggregate
+from tests import fakes
+
+STEP_MS = 50
+VIEW_MS = 300
+# The membership counts a process that was frozen for this long as dead.
+DEAD_MS = 800
+LEASE_MS = 900
+
+
+class Recorder(aggregate.Aggregate):
+    """Checks every applied version as it is published."""
+
+    name = 'recorder'
+    handlers = {tables_messages.VersionApplied: 'record'}
+
+    def __init__(self, world, node):
+        self.world = world
+        self.node = node
+
+    def start(self, now):
+        return []
+
+    def record(self, message, sender, now):
+        applied = message.applied
+        before = self.world.highest.get(self.node, 0)
+        # I1: over all processes of this node.
+        assert applied.number >= before, (self.node, before, applied.number)
+        # I2, I3: whole, and the same content under one number.
+        assert applied == self.world.versions[applied.number]
+        document.check_tables(applied.tables)
+        self.world.highest[self.node] = applied.number
+        return []
+
+
+class Cluster(fakes.Cluster):
+    """Counts bytes by sender and receiver."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.sent = collections.Counter()
+        self.kinds = collections.Counter()
+
+    def transmit(self, sender, peer, message):
+        size = len(codec.encode(message))
+        self.sent[sender, peer] += size
+        self.kinds[type(message).__name__] += size
+        return super().transmit(sender, peer, message)
+
+    def is_cut(self, left, right):
+        return frozenset((left, right)) in self._cuts
+
+    def hand_over(self, name, message, delay_ms=0):
+        """Deliver a message inside a process, once it is not frozen."""
+        process = self.processes.get(name)
+
+        def deliver():
+            if self.processes.get(name) is process:
+                process.dispatcher.deliver(message, name)
+
+        self._schedule(
+            self.clock.read() + delay_ms,
+            lambda: self._run_on(name, deliver),
+        )
+
+
+class World:
+    def __init__(
+        self,
+        seed=1,
+        nodes=4,
+        datacentres=('a', 'b'),
+        control=('a', 'b', 'c', 'd', 'e'),
+        delay_ms=(1, 15),
+    ):
+        self.random = random.Random(seed)
+        self.cluster = Cluster(seed, delay_ms)
+        self.control = [
+            messages.ControlProcess(f'control-{name}', name, f'region-{name}')
+            for name in control
+        ]
+        self.datacentres = datacentres
+        self.members = {
+            f'{name}-{index}': member_messages.Member(
+                f'{name}-{index}', name, f'region-{name}', '127.0.0.1', 1, 2
+            )
+            for name in datacentres
+            for index in range(nodes)
+        }
+        self.versions = [version.EMPTY]
+        self.highest = {}
+        self.feeds = {}
+        self.subscribers = {}
+        self.relays = {}
+        self.known = {}
+        self.leader = ''
+        self.lost_at = None
+        self.live_since = {}
+        self.views = {}
+        self.view_due = {}
+        for process in self.control:
+            self.start_control(process.name)
+        for name in self.members:
+            self.start_node(name)
+
+    def start_control(self, name):
+        own = next(one for one in self.control if one.name == name)
+        self.feeds[name] = feed.Feed(
+            own,
+            self.control,
+            self.datacentres,
+            random.Random(self.random.random()),
+        )
+        self.known[name] = 0
+        if self.leader == name:
+            self.leader = ''
+        self.cluster.start(name, self.feeds[name])
+
+    def start_node(self, name):
+        own = self.members[name]
+        self.subscribers[name] = subscriber.Subscriber(
+            own, self.control, random.Random(self.random.random())
+        )
+        self.relays[name] = relay.Relay(
+            own, self.control, random.Random(self.random.random())
+        )
+        self.cluster.start(
+            name,
+            self.relays[name],
+            self.subscribers[name],
+            Recorder(self, name),
+        )
+        self.live_since[name] = self.cluster.clock.read()
+        self.views[name] = (own,)
+        self.view_due.pop(name, None)
+        self.cluster.hand_over(
+            name, member_messages.MembersChanged(self.views[name])
+        )
+
+    def kill(self, name):
+        self.cluster.kill(name)
+        self.live_since.pop(name, None)
+
+    def freeze(self, name):
+        self.cluster.freeze(name)
+        self.live_since[name] = None
+
+    def thaw(self, name):
+        if name in self.members:
+            self.live_since[name] = self.cluster.clock.read()
+        self.cluster.thaw(name)
+
+    def commit(self, change=None):
+        """Commit a version if the log has a leader; return its number."""
+        self.elect()
+        if not self.leader or self.lost_at is not None:
+            return 0
+        number = len(self.versions)
+        made = change or make_version(self.random, number)
+        self.versions.append(made)
+        return number
+
+    def run(self, duration_ms):
+        end = self.cluster.clock.read() + duration_ms
+        while self.cluster.clock.read() < end:
+            self.elect()
+            self.replicate()
+            self.update_views()
+            self.cluster.run_for(STEP_MS)
+            self.check()
+
+    def run_until(self, done, limit_ms):
+        started = self.cluster.clock.read()
+        while not done():
+            waited = self.cluster.clock.read() - started
+            assert waited < limit_ms, f'not done within {limit_ms} ms'
+            self.run(STEP_MS)
+        return self.cluster.clock.read() - started
+
+    def is_everywhere(self):
+        newest = self.versions[-1].number
+        return all(
+            self.subscribers[name].active.number == newest
+            for name in self.list_live()
+        )
+
+    def list_live(self):
+        return [name for name in self.members if self.is_up(name)]
+
+    def is_up(self, name):
+        process = self.cluster.processes.get(name)
+        return process is not None and not process.frozen
+
+    def elect(self):
+        now = self.cluster.clock.read()
+        if self.leader and self.has_majority(self.leader):
+            self.lost_at = None
+            return
+        if self.leader and self.lost_at is None:
+            self.lost_at = now
+        if self.leader and now - self.lost_at < LEASE_MS:
+            return
+        if self.leader:
+            self.hand_over_lead(self.leader, leading=False)
+        self.leader = ''
+        self.lost_at = None
+        able = [one.name for one in self.control if self.has_majority(one.name)]
+        if able:
+            self.leader = self.random.choice(able)
+            self.replicate_to(self.leader, 0)
+            self.hand_over_lead(self.leader, leading=True)
+
+    def hand_over_lead(self, name, leading):
+        self.cluster.hand_over(
+            name, replica_messages.LeaderChanged(name, leading)
+        )
+
+    def has_majority(self, name):
+        if not self.is_up(name):
+            return False
+        reached = sum(
+            self.is_up(other.name) and not self.cluster.is_cut(name, other.name)
+            for other in self.control
+        )
+        return reached > len(self.control) // 2
+
+    def replicate(self):
+        """Pass committed versions on, at an uneven pace."""
+        if not self.leader or self.lost_at is not None:
+            return
+        self.replicate_to(self.leader, 0)
+        for process in self.control:
+            reached = self.is_up(process.name) and not self.cluster.is_cut(
+                process.name, self.leader
+            )
+            if reached and self.random.random() < 0.5:
+                self.replicate_to(process.name, STEP_MS)
+
+    def replicate_to(self, name, delay_ms):
+        for number in range(self.known[name] + 1, len(self.versions)):
+            self.cluster.hand_over(
+                name,
+                tables_messages.VersionAccepted(self.versions[number]),
+                delay_ms,
+            )
+        self.known[name] = len(self.versions) - 1
+
+    def update_views(self):
+        now = self.cluster.clock.read()
+        for name in self.list_live():
+            view = tuple(
+                other
+                for other in self.members.values()
+                if other.datacentre == self.members[name].datacentre
+                and self.is_member(other.name)
+            )
+            if view == self.views[name]:
+                self.view_due.pop(name, None)
+                continue
+            due = self.view_due.setdefault(
+                name, now + self.random.randint(0, VIEW_MS - STEP_MS)
+            )
+            if now >= due:
+                self.views[name] = view
+                self.cluster.hand_over(
+                    name, member_messages.MembersChanged(view)
+                )
+
+    def is_member(self, name):
+        process = self.cluster.processes.get(name)
+        if process is None:
+            return False
+        if not process.frozen:
+            self.view_due.pop(('frozen', name), None)
+            return True
+        now = self.cluster.clock.read()
+        return now < self.view_due.setdefault(('frozen', name), now + DEAD_MS)
+
+    def check(self):
+        """Check that no feed claims more than is true."""
+        now = self.cluster.clock.read()
+        newest = self.versions[-1].number
+        for name, one in self.feeds.items():
+            if not newest or not self.is_up(name):
+                continue
+            told = one.summarize(newest, now)
+            if told.everywhere:
+                self.check_everywhere(newest, now - told.age_ms - 2 * VIEW_MS)
+
+    def check_everywhere(self, number, since):
+        for name in self.list_live():
+            if self.live_since[name] <= since:
+                assert self.subscribers[name].active.number >= number, name
+
+
+def make_version(source, number, entries=4):
+    """Return tables of random content."""
+    names = source.sample([f'pool-{index}' for index in range(9)], entries)
+    pools = tuple(
+        pool.Pool(name, name, {f'v{source.randint(1, 3)}': 100})
+        for name in names
+    )
+    routes = tuple(
+        route.Route(f'route-{index}', f'/{index}', ('GET',), name)
+        for index, name in enumerate(names)
+    )
+    moves = (version.Move(f'move-{number}', names[0], 'v1', 'v2', number),)
+    return version.Version(number, version.Tables(routes, pools), moves)
