--- /dev/null
+++ b/shallotwharf/adapters/exchange.py
@@ -0,0 +1,330 @@
+"""One request of a caller and its answer: carries out the steps of a plan."""
+
+import asyncio
+import json
+import types
+import typing
+from http import client
+
+from tornado import httputil
+
+from shallotwharf.adapters import headers, outbound, waiting
+from shallotwharf.core import callports, calls, clock, counters
+
+_PHRASE_UNKNOWN: typing.Final = 'Unknown'
+
+
+class Services:
+    """What all exchanges of a node share."""
+
+    __slots__ = (
+        'clock',
+        'conductor',
+        'gate',
+        'guard',
+        'waiting',
+        'outbound',
+        'counters',
+        'loop',
+        'active',
+    )
+
+    def __init__(
+        self,
+        process_clock: clock.Clock,
+        conductor: callports.Conductor,
+        gate: callports.Gate,
+        guard: callports.OnceGuard,
+        waiting_requests: waiting.WaitingRequests,
+        sender: outbound.Outbound,
+        process_counters: counters.Counters,
+    ) -> None:
+        self.clock = process_clock
+        self.conductor = conductor
+        self.gate = gate
+        self.guard = guard
+        self.waiting = waiting_requests
+        self.outbound = sender
+        self.counters = process_counters
+        self.loop = asyncio.get_running_loop()
+        self.active = 0
+
+
+class Exchange:
+    """A request from its last byte to the end of its answer."""
+
+    __slots__ = (
+        '_services',
+        '_connection',
+        '_start_line',
+        '_headers',
+        '_request',
+        '_plan',
+        '_step',
+        '_answer',
+        '_outgoing',
+        '_carrier',
+        '_timer',
+        '_guarded',
+        '_open',
+    )
+
+    def __init__(
+        self,
+        services: Services,
+        connection: httputil.HTTPConnection,
+        start_line: httputil.RequestStartLine,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        self._services = services
+        self._connection = connection
+        self._start_line = start_line
+        self._headers = request_headers
+        self._request = headers.read_request(start_line, request_headers, body)
+        self._plan = services.conductor.plan(self._request)
+        self._step: calls.Enter | calls.Forward | None = None
+        self._answer: outbound.Answer | None = None
+        self._outgoing: outbound.Outgoing | None = None
+        self._carrier: outbound.Connection | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._guarded = False
+        self._open = True
+
+    def start(self) -> None:
+        """Carry out the first step."""
+        self._services.active += 1
+        headers.strip_hop_headers(self._headers)
+        headers.strip_own_headers(self._headers)
+        if self._request.body:
+            length = str(len(self._request.body))
+            self._headers[headers.CONTENT_LENGTH] = length
+        self._run(self._plan.start(self._services.clock.read()))
+
+    def cancel(self) -> None:
+        """Stop the attempt, since the caller went away."""
+        if not self._open:
+            return
+        now = self._services.clock.read()
+        if self._plan.cancel(now):
+            self._services.counters.add('inbound.cancelled')
+            self._stop_attempt(calls.Result(calls.OUTCOME_CANCELLED), now)
+            self._close()
+
+    def _run(self, step: calls.Step) -> None:
+        _STEPS[type(step)](self, step)
+
+    def _resume(self, ended: calls.Result) -> None:
+        self._run(self._plan.resume(ended, self._services.clock.read()))
+
+    def _enter(self, step: calls.Enter) -> None:
+        now = self._services.clock.read()
+        self._step = step
+        self._set_timer(step.deadline_at, now)
+        self._apply_admission(
+            self._services.gate.enter(step, self._request, now),
+        )
+
+    def _apply_admission(self, admission: typing.Any) -> None:
+        step = typing.cast(calls.Enter, self._step)
+        if isinstance(admission, calls.Admitted):
+            self._send(admission.host, admission.port, self._end_entered)
+        elif isinstance(admission, calls.Refused):
+            self._resume(
+                calls.Result(calls.OUTCOME_REFUSED, admission.reason),
+            )
+        else:
+            self._services.waiting.expect(step.attempt, self._apply_admission)
+
+    def _forward(self, step: calls.Forward) -> None:
+        self._step = step
+        self._set_timer(step.deadline_at, self._services.clock.read())
+        self._headers[headers.FORWARDED] = step.forwarded
+        self._send(step.host, step.port, self._end_forwarded)
+
+    def _send(self, host: str, port: int, done: outbound.Done) -> None:
+        self._outgoing = outbound.Outgoing(
+            self._start_line,
+            self._headers,
+            self._request.body,
+            self._prepare,
+            done,
+        )
+        self._carrier = self._services.outbound.send(
+            host,
+            port,
+            self._outgoing,
+        )
+
+    def _prepare(self) -> bool:
+        """Write the headers that depend on the time of sending."""
+        step = self._step
+        now = self._services.clock.read()
+        if isinstance(step, calls.Forward):
+            limit_at = step.deadline_at - step.cut_ms
+        elif step is not None:
+            limit_at = step.deadline_at
+            if now >= step.start_by:
+                return False
+        else:
+            return False
+        headers.write_attempt(
+            self._headers,
+            step.attempt,
+            limit_at - now,
+            step.retried,
+        )
+        return now < limit_at
+
+    def _end_entered(
+        self,
+        ended: calls.Result,
+        answer: outbound.Answer | None,
+    ) -> None:
+        step = typing.cast(calls.Enter, self._step)
+        now = self._services.clock.read()
+        self._services.gate.leave(step.attempt, ended, now)
+        if answer is not None:
+            headers.strip_own_headers(answer.headers)
+        self._answer = answer
+        self._resume(ended)
+
+    def _end_forwarded(
+        self,
+        ended: calls.Result,
+        answer: outbound.Answer | None,
+    ) -> None:
+        step = typing.cast(calls.Forward, self._step)
+        if answer is not None:
+            ended = headers.read_result(
+                answer.status,
+                answer.headers,
+                step.attempt,
+            )
+            headers.strip_own_headers(answer.headers)
+            if ended.outcome == calls.OUTCOME_CROSSED and self._carrier:
+                self._services.counters.add('outbound.crossed')
+                self._carrier.close()
+        self._answer = answer
+        self._resume(ended)
+
+    def _ask_guard(self, _step: calls.Guard) -> None:
+        self._services.guard.begin(self._request, self._apply_guard)
+
+    def _apply_guard(self, reply: calls.GuardReply) -> None:
+        if self._open:
+            self._guarded = isinstance(reply, calls.Granted)
+            now = self._services.clock.read()
+            self._run(self._plan.apply_guard(reply, now))
+
+    def _relay(self, _step: calls.Relay) -> None:
+        answer = typing.cast(outbound.Answer, self._answer)
+        headers.strip_hop_headers(answer.headers)
+        empty = headers.is_empty(answer.status, self._start_line.method)
+        if not empty:
+            length = str(len(answer.body))
+            answer.headers[headers.CONTENT_LENGTH] = length
+        if self._guarded:
+            content_type = answer.headers.get(headers.CONTENT_TYPE, '')
+            self._services.guard.finish(
+                self._request,
+                calls.Replayed(answer.status, content_type, answer.body),
+                not_run=False,
+            )
+        self._write(answer)
+
+    def _respond(self, step: calls.Respond) -> None:
+        if self._guarded:
+            self._services.guard.finish(self._request, None, step.not_run)
+        self._write(build_refusal(step, forwarded=self._is_forwarded()))
+
+    def _replay(self, step: calls.Replay) -> None:
+        replayed = httputil.HTTPHeaders()
+        replayed[headers.CONTENT_LENGTH] = str(len(step.body))
+        if step.content_type:
+            replayed[headers.CONTENT_TYPE] = step.content_type
+        self._write(
+            outbound.Answer(
+                step.status,
+                find_phrase(step.status),
+                replayed,
+                step.body,
+            ),
+        )
+
+    def _write(self, answer: outbound.Answer) -> None:
+        self._close()
+        if self._is_forwarded():
+            answer.headers[headers.ATTEMPT] = self._request.attempt
+        empty = headers.is_empty(answer.status, self._start_line.method)
+        self._connection.write_headers(
+            httputil.ResponseStartLine('', answer.status, answer.phrase),
+            answer.headers,
+            None if empty else answer.body,
+        )
+        self._connection.finish()
+
+    def _is_forwarded(self) -> bool:
+        return bool(self._request.forwarded)
+
+    def _set_timer(self, deadline_at: int, now: int) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._services.loop.call_later(
+            (deadline_at - now) / clock.SECOND_MS,
+            self._expire,
+        )
+
+    def _expire(self) -> None:
+        ended = calls.Result(calls.OUTCOME_LATE, 'deadline_passed')
+        self._stop_attempt(ended, self._services.clock.read())
+        self._resume(ended)
+
+    def _stop_attempt(self, ended: calls.Result, now: int) -> None:
+        if self._carrier is not None and self._outgoing is not None:
+            self._carrier.cancel(self._outgoing)
+        if isinstance(self._step, calls.Enter):
+            self._services.waiting.forget(self._step.attempt)
+            self._services.gate.leave(self._step.attempt, ended, now)
+
+    def _close(self) -> None:
+        self._open = False
+        self._services.active -= 1
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+def build_refusal(step: calls.Respond, *, forwarded: bool) -> outbound.Answer:
+    """Return the answer of a node that does not pass one on."""
+    body = json.dumps({'reason': step.reason, 'not_run': step.not_run})
+    refusal = httputil.HTTPHeaders()
+    refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
+    refusal[headers.CONTENT_LENGTH] = str(len(body))
+    if step.retry_after_s:
+        refusal[headers.RETRY_AFTER] = str(step.retry_after_s)
+    if forwarded:
+        refusal[headers.OUTCOME] = headers.write_outcome(step)
+    return outbound.Answer(
+        step.status,
+        find_phrase(step.status),
+        refusal,
+        body.encode(),
+    )
+
+
+def find_phrase(status: int) -> str:
+    """Return the reason phrase of a status."""
+    return client.responses.get(status, _PHRASE_UNKNOWN)
+
+
+# How the exchange carries out each step.
+_STEPS: typing.Final[typing.Any] = types.MappingProxyType(
+    {
+        calls.Enter: Exchange._enter,
+        calls.Forward: Exchange._forward,
+        calls.Guard: Exchange._ask_guard,
+        calls.Relay: Exchange._relay,
+        calls.Respond: Exchange._respond,
+        calls.Replay: Exchange._replay,
+    }
+)
--- /dev/null
+++ b/shallotwharf/adapters/headers.py
@@ -0,0 +1,137 @@
+"""Headers of calls: names, removal and decoding."""
+
+import typing
+
+from tornado import httputil
+
+from shallotwharf.core import calls
+
+DEADLINE: typing.Final = 'Shallotwharf-Deadline-Ms'
+ATTEMPT: typing.Final = 'Shallotwharf-Attempt'
+RETRIED: typing.Final = 'Shallotwharf-Retried'
+FORWARDED: typing.Final = 'Shallotwharf-Forwarded'
+# On an answer of a node to a node: how the attempt ended, and the reason.
+OUTCOME: typing.Final = 'Shallotwharf-Outcome'
+KEY: typing.Final = 'Idempotency-Key'
+RETRY_AFTER: typing.Final = 'Retry-After'
+CONNECTION: typing.Final = 'Connection'
+CONTENT_LENGTH: typing.Final = 'Content-Length'
+CONTENT_TYPE: typing.Final = 'Content-Type'
+TRANSFER_ENCODING: typing.Final = 'Transfer-Encoding'
+JSON_TYPE: typing.Final = 'application/json'
+
+_HOP_BY_HOP: typing.Final = (
+    CONNECTION,
+    'Keep-Alive',
+    'Proxy-Authenticate',
+    'Proxy-Authorization',
+    'Proxy-Connection',
+    'Te',
+    'Trailer',
+    TRANSFER_ENCODING,
+    'Upgrade',
+    'Expect',
+)
+_OWN: typing.Final = (ATTEMPT, FORWARDED, OUTCOME)
+_CLOSE: typing.Final = 'close'
+_YES: typing.Final = '1'
+_REPORTED: typing.Final = frozenset(
+    (
+        calls.OUTCOME_REFUSED,
+        calls.OUTCOME_UNREACHED,
+        calls.OUTCOME_CLOSED,
+        calls.OUTCOME_CROSSED,
+        calls.OUTCOME_LATE,
+        calls.OUTCOME_CANCELLED,
+    ),
+)
+
+
+def strip_hop_headers(headers: httputil.HTTPHeaders) -> None:
+    """Remove the headers that belong to one connection (RFC 9110, 7.6.1)."""
+    named = headers.get(CONNECTION)
+    if named is not None:
+        for name in named.split(','):
+            headers.pop(name.strip(), None)
+    for hop_name in _HOP_BY_HOP:
+        headers.pop(hop_name, None)
+
+
+def strip_own_headers(headers: httputil.HTTPHeaders) -> None:
+    """Remove what only nodes may say to each other."""
+    for name in _OWN:
+        headers.pop(name, None)
+
+
+def asks_to_close(headers: httputil.HTTPHeaders) -> bool:
+    """Tell whether the connection ends with this message."""
+    named = headers.get(CONNECTION)
+    return named is not None and _CLOSE in named.lower()
+
+
+def is_framed(status: int, method: str, headers: httputil.HTTPHeaders) -> bool:
+    """Tell whether the end of an answer can be known (RFC 9112, 6.3)."""
+    return (
+        CONTENT_LENGTH in headers
+        or TRANSFER_ENCODING in headers
+        or is_empty(status, method)
+    )
+
+
+def is_empty(status: int, method: str) -> bool:
+    """Tell whether an answer has no body whatever its headers say."""
+    return method == 'HEAD' or status in {204, 304}  # noqa: WPS432
+
+
+def read_request(
+    start_line: httputil.RequestStartLine,
+    headers: httputil.HTTPHeaders,
+    body: bytes,
+) -> calls.Request:
+    """Return a request of a caller or of another node."""
+    deadline = headers.get(DEADLINE, '')
+    return calls.Request(
+        start_line.method,
+        start_line.path,
+        body,
+        int(deadline) if deadline.isdecimal() else None,
+        RETRIED in headers,
+        headers.get(ATTEMPT, ''),
+        headers.get(FORWARDED, ''),
+        headers.get(KEY, ''),
+    )
+
+
+def write_attempt(
+    headers: httputil.HTTPHeaders,
+    attempt: str,
+    deadline_ms: int,
+    retried: bool,
+) -> None:
+    """Set the headers of an attempt on those of its request."""
+    headers[ATTEMPT] = attempt
+    headers[DEADLINE] = str(max(deadline_ms, 0))
+    if retried:
+        headers[RETRIED] = _YES
+
+
+def read_result(
+    status: int,
+    headers: httputil.HTTPHeaders,
+    attempt: str,
+) -> calls.Result:
+    """Return the result of an attempt that another node answered."""
+    if headers.get(ATTEMPT) != attempt:
+        return calls.Result(calls.OUTCOME_CROSSED, 'attempt_mismatch')
+    reported = headers.get(OUTCOME)
+    if reported is None:
+        return calls.Result(calls.OUTCOME_ANSWERED, '', status)
+    outcome, _, reason = reported.partition(' ')
+    if outcome not in _REPORTED:
+        return calls.Result(calls.OUTCOME_CROSSED, 'unknown_outcome')
+    return calls.Result(outcome, reason)
+
+
+def write_outcome(step: calls.Respond) -> str:
+    """Return the value of the outcome header of an answer."""
+    return f'{step.outcome} {step.reason}'
--- /dev/null
+++ b/shallotwharf/adapters/upstreams.py
@@ -0,0 +1,117 @@
+"""Requests with which an upstream announces itself to its node.
+
+`PUT /upstream` with a JSON document announces it and may be repeated,
+`PUT /upstream/drain` ends new work, `DELETE /upstream` removes it.
+"""
+
+import json
+import typing
+
+import voluptuous
+from tornado import web
+
+from shallotwharf.core import callports, errors, schema
+
+_STEP: typing.Final = 'upstream.announce'
+_MAX_SLOTS: typing.Final = 10_000
+_MAX_PORT: typing.Final = 65_535
+_MAX_WARMUP_MS: typing.Final = 600_000
+_DEFAULT_WARMUP_MS: typing.Final = 10_000
+_STATUS_NO_CONTENT: typing.Final = 204
+_STATUS_BAD_REQUEST: typing.Final = 400
+
+_NAME: typing.Final = voluptuous.All(
+    str,
+    voluptuous.Match(r'\A[A-Za-z0-9][A-Za-z0-9_.-]*\Z'),
+)
+_UPSTREAM: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Required('service'): _NAME,
+        voluptuous.Required('version'): _NAME,
+        voluptuous.Optional('host', default=''): str,
+        voluptuous.Required('port'): voluptuous.All(
+            int,
+            voluptuous.Range(1, _MAX_PORT),
+        ),
+        voluptuous.Required('slots'): voluptuous.All(
+            int,
+            voluptuous.Range(1, _MAX_SLOTS),
+        ),
+        voluptuous.Optional(
+            'warmup_ms',
+            default=_DEFAULT_WARMUP_MS,
+        ): voluptuous.All(int, voluptuous.Range(0, _MAX_WARMUP_MS)),
+        voluptuous.Optional('instance', default=''): str,
+    },
+)
+
+Rules: typing.TypeAlias = list[tuple[str, type[web.RequestHandler], typing.Any]]
+
+
+def build_rules(registry: callports.UpstreamRegistry) -> Rules:
+    """Return the rules to add to the application at the admin address."""
+    arguments = {'registry': registry}
+    return [
+        ('/upstream', UpstreamHandler, arguments),
+        ('/upstream/drain', DrainHandler, arguments),
+    ]
+
+
+class UpstreamHandler(web.RequestHandler):
+    """Announces or removes the upstream."""
+
+    def initialize(self, registry: callports.UpstreamRegistry) -> None:
+        """Keep the registry."""
+        self._registry = registry
+
+    def put(self) -> None:
+        """Announce the upstream."""
+        try:
+            described = parse_upstream(
+                self.request.body,
+                self.request.remote_ip or '',
+            )
+        except (errors.ProtocolError, ExceptionGroup) as error:
+            self.set_status(_STATUS_BAD_REQUEST)
+            self.finish(json.dumps({'errors': schema.format_errors(error)}))
+            return
+        self._registry.announce(described)
+        self.set_status(_STATUS_NO_CONTENT)
+
+    def delete(self) -> None:
+        """Remove the upstream."""
+        self._registry.remove()
+        self.set_status(_STATUS_NO_CONTENT)
+
+
+class DrainHandler(web.RequestHandler):
+    """Drains the upstream."""
+
+    def initialize(self, registry: callports.UpstreamRegistry) -> None:
+        """Keep the registry."""
+        self._registry = registry
+
+    def put(self) -> None:
+        """Take no new work for the upstream."""
+        self._registry.drain()
+        self.set_status(_STATUS_NO_CONTENT)
+
+
+def parse_upstream(
+    text: bytes,
+    peer: str,
+) -> callports.UpstreamDescription:
+    """Return the announcement of an upstream; its host is the peer's if empty.
+
+    Raises:
+        ProtocolError: if it is not JSON.
+        ExceptionGroup: of `ProtocolError`, one for each fault.
+    """
+    document = schema.check_document(
+        _UPSTREAM,
+        schema.parse_json(text, errors.ProtocolError, _STEP, peer),
+        errors.ProtocolError,
+        _STEP,
+    )
+    document['host'] = document['host'] or peer
+    return callports.UpstreamDescription(**document)
--- /dev/null
+++ b/shallotwharf/components/call/caller.py
@@ -0,0 +1,156 @@
+"""Routes, upstreams and fences as one node knows them."""
+
+import random
+import typing
+
+from shallotwharf.components.call import (
+    budget,
+    explain,
+    fences,
+    forwarded,
+    index,
+    plan,
+    targets,
+)
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.move import messages as move
+from shallotwharf.components.tables import messages as tables
+from shallotwharf.components.tables import version
+from shallotwharf.core import callports, calls, direct, effects
+
+
+class Caller(direct.DirectAggregate, callports.Conductor, plan.Context):
+    """Makes the plan of each call."""
+
+    __slots__ = (
+        'own_node',
+        'directory',
+        'random',
+        'observer',
+        '_id_prefix',
+        '_call_count',
+        '_version',
+        '_index',
+        '_fences',
+    )
+
+    name = 'call'
+    handlers: typing.ClassVar = {
+        tables.VersionApplied: 'apply_version',
+        membership.AnnouncementsChanged: 'apply_announcements',
+        move.FenceRaised: 'apply_fence',
+    }
+
+    def __init__(
+        self,
+        node: membership.Member,
+        id_prefix: str,
+        source: random.Random,
+        observer: callports.Observer,
+    ) -> None:
+        """Create the caller of a node that has no version yet.
+
+        Args:
+            node: the own node.
+            id_prefix: start of all call ids; differs after a restart.
+            source: of random choices.
+            observer: gets the result of each attempt.
+        """
+        super().__init__()
+        self.own_node = node.name
+        self.directory = targets.Directory(node)
+        self.random = source
+        self.observer = observer
+        self._id_prefix = id_prefix
+        self._call_count = 0
+        self._version = version.EMPTY
+        self._fences = fences.Fences()
+        self._index = index.RouteIndex(version.EMPTY, {})
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Do nothing until a version is applied."""
+        return []
+
+    def apply_version(
+        self,
+        message: tables.VersionApplied,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Build the index of a version and use it from the next call on."""
+        applied = message.applied
+        self._fences.replace_version(self._version, applied)
+        pools: dict[str, index.PoolEntry] = {}
+        for row in applied.tables.pools:
+            known = self._index.pools.get(row.name)
+            pool_move = applied.find_move(row.name)
+            pools[row.name] = index.PoolEntry(
+                row,
+                pool_move,
+                known.budget if known else budget.RetryBudget(now),
+                self._fences.find_fenced(row.name, pool_move),
+            )
+        self._index = index.RouteIndex(applied, pools)
+        self._version = applied
+        return []
+
+    def apply_announcements(
+        self,
+        message: membership.AnnouncementsChanged,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Take all upstreams that are announced."""
+        self.directory.replace(message.announcements)
+        return []
+
+    def apply_fence(
+        self,
+        message: move.FenceRaised,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Give the version no more traffic, from the next attempt on."""
+        self._fences.add(message)
+        entry = self._index.pools.get(message.pool)
+        if entry is not None:
+            entry.apply_fences(
+                self._fences.find_fenced(message.pool, entry.move),
+            )
+        return []
+
+    def plan(self, request: calls.Request) -> callports.Plan:
+        """Return the plan of a request."""
+        if request.forwarded:
+            return forwarded.ForwardedPlan(request)
+        return plan.CallPlan(self, request)
+
+    def explain(
+        self,
+        method: str,
+        path: str,
+        now: int,
+    ) -> explain.Explanation:
+        """Tell where a request would go and why."""
+        return explain.explain_route(
+            self.find_route(method, path),
+            self.directory,
+            now,
+        )
+
+    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
+        """Return the route of a request in the current version."""
+        return self._index.find(method, path)
+
+    def has_version(self) -> bool:
+        """Tell whether a version was applied."""
+        return self._version.number > 0
+
+    def make_call_id(self) -> str:
+        """Return a new id."""
+        self._call_count += 1
+        return f'{self._id_prefix}-{self._call_count}'
+
+    def count(self, name: str) -> None:
+        """Add to a counter."""
+        self.outbox.append(effects.Count(name))
--- /dev/null
+++ b/shallotwharf/components/call/const.py
@@ -0,0 +1,57 @@
+"""Reasons, counters and limits of the path of a call."""
+
+import sys
+import typing
+
+REASON_NO_VERSION: typing.Final = 'no_version'
+REASON_UNKNOWN_ROUTE: typing.Final = 'unknown_route'
+REASON_NO_UPSTREAM: typing.Final = 'no_upstream'
+REASON_DEADLINE: typing.Final = 'deadline_too_short'
+REASON_KEY: typing.Final = 'idempotency_key_missing'
+REASON_FORWARDED: typing.Final = 'forwarded_header_invalid'
+REASON_LATE: typing.Final = 'deadline_passed'
+
+# A refusal for these reasons would be the same elsewhere.
+FINAL_REASONS: typing.Final = frozenset(('poison_request', REASON_DEADLINE))
+# A refusal for this reason says that the version does not serve.
+REASON_UNHEALTHY: typing.Final = 'unhealthy'
+
+COUNTER_REFUSED: typing.Final = 'call.refused.'
+COUNTER_RETRIED: typing.Final = 'call.retried.'
+COUNTER_RETRY_DENIED: typing.Final = 'call.retry_denied.'
+COUNTER_SPILLED: typing.Final = 'call.spilled'
+
+DENIED_DEEPER: typing.Final = 'deeper_hop'
+DENIED_LIMIT: typing.Final = 'route_limit'
+DENIED_BUDGET: typing.Final = 'budget'
+DENIED_DEADLINE: typing.Final = 'deadline'
+
+# Each hop must fail before the hop above it does, in whole milliseconds.
+HOP_CUT_MS: typing.Final = 1
+# Covers connecting and transit of a once-only call to another node, so that
+# it does not start after its grant expires.
+START_MARGIN_MS: typing.Final = 500
+# Further than any clock reading: no limit on the start of a call.
+NO_LIMIT_AT: typing.Final = sys.maxsize
+
+# One-way latencies of section 1.1 of the design, in milliseconds.
+REGION_LATENCY_MS: typing.Final = 1
+REMOTE_LATENCY_MS: typing.Final = 12
+
+# Retries: a tenth of the calls and two a second for each pool of a node.
+BUDGET_PER_CALL: typing.Final = 0.1
+BUDGET_PER_SECOND: typing.Final = 2.0
+BUDGET_CAP: typing.Final = 20.0
+
+# A target that was not reached is left out for as long as members take to
+# suspect its node; one that refused for lack of slots for about a run time.
+AVOID_UNREACHED_MS: typing.Final = 1000
+AVOID_REFUSED_MS: typing.Final = 20
+
+STATUS_BAD_REQUEST: typing.Final = 400
+STATUS_NOT_FOUND: typing.Final = 404
+STATUS_SERVER_ERROR: typing.Final = 500
+STATUS_BAD_GATEWAY: typing.Final = 502
+STATUS_UNAVAILABLE: typing.Final = 503
+STATUS_TIMEOUT: typing.Final = 504
+RETRY_AFTER_S: typing.Final = 1
--- /dev/null
+++ b/shallotwharf/components/call/explain.py
@@ -0,0 +1,124 @@
+"""Why a call would go where."""
+
+import typing
+
+from shallotwharf.components.call import index, targets
+from shallotwharf.core import records
+
+REASON_FENCED: typing.Final = 'fenced'
+REASON_NO_SHARE: typing.Final = 'no_share'
+REASON_STATE: typing.Final = 'not_serving'
+REASON_AVOIDED: typing.Final = 'failed_lately'
+REASON_NO_SPARE: typing.Final = 'no_spare_slot'
+REASON_OWN: typing.Final = 'own_datacentre'
+REASON_OTHER: typing.Final = 'other_datacentre'
+
+
+class Candidate(records.Record):
+    """An upstream of the pool's service, and why it is or is not chosen.
+
+    Attributes:
+        node: the node beside it.
+        version: version of the service.
+        datacentre: its data centre.
+        latency_ms: one-way latency to it.
+        spare: estimated spare slots.
+        reason: one of the `REASON_` names.
+    """
+
+    __slots__ = (
+        'node',
+        'version',
+        'datacentre',
+        'latency_ms',
+        'spare',
+        'reason',
+    )
+
+    def __init__(
+        self,
+        node: str,
+        version: str,
+        datacentre: str,
+        latency_ms: int,
+        spare: int,
+        reason: str,
+    ) -> None:
+        self.node = node
+        self.version = version
+        self.datacentre = datacentre
+        self.latency_ms = latency_ms
+        self.spare = spare
+        self.reason = reason
+
+
+class Explanation(records.Record):
+    """Route and pool of a request, empty if none, and the candidates."""
+
+    __slots__ = ('route', 'pool', 'candidates')
+
+    def __init__(
+        self,
+        route: str,
+        pool: str,
+        candidates: tuple[Candidate, ...],
+    ) -> None:
+        self.route = route
+        self.pool = pool
+        self.candidates = candidates
+
+
+def explain_route(
+    entry: index.RouteEntry | None,
+    directory: targets.Directory,
+    now: int,
+) -> Explanation:
+    """Return the explanation of a route, nearest candidates first."""
+    if entry is None:
+        return Explanation('', '', ())
+    candidates = [
+        _explain_target(entry.pool, target, now)
+        for target in directory.list_targets(entry.pool.row.service)
+    ]
+    candidates.sort(key=lambda row: (row.latency_ms, row.node))
+    return Explanation(
+        entry.row.name,
+        entry.pool.row.name,
+        tuple(candidates),
+    )
+
+
+def _explain_target(
+    pool: index.PoolEntry,
+    target: targets.Target,
+    now: int,
+) -> Candidate:
+    row = target.announcement
+    return Candidate(
+        row.node.name,
+        row.version,
+        row.node.datacentre,
+        target.latency_ms,
+        target.estimate_spare(),
+        _find_reason(pool, target, now),
+    )
+
+
+def _find_reason(
+    pool: index.PoolEntry,
+    target: targets.Target,
+    now: int,
+) -> str:
+    row = target.announcement
+    checks = (
+        (row.version in pool.fenced, REASON_FENCED),
+        (row.version not in dict(pool.shares), REASON_NO_SHARE),
+        (row.state not in targets.OPEN_STATES, REASON_STATE),
+        (now < target.avoid_until, REASON_AVOIDED),
+        (target.estimate_spare() <= 0, REASON_NO_SPARE),
+        (target.latency_ms == 0, REASON_OWN),
+    )
+    for holds, reason in checks:
+        if holds:
+            return reason
+    return REASON_OTHER
--- /dev/null
+++ b/shallotwharf/components/call/forwarded.py
@@ -0,0 +1,61 @@
+"""The decisions of one call at the node beside the chosen upstream."""
+
+from shallotwharf.components.call import const, rules
+from shallotwharf.core import callports, calls
+
+_PART_COUNT = 4
+
+
+class ForwardedPlan(callports.Plan):
+    """Enter the gate once; the node that chose it decides on retries."""
+
+    __slots__ = ('_request',)
+
+    def __init__(self, request: calls.Request) -> None:
+        self._request = request
+
+    def start(self, now: int) -> calls.Step:
+        """Ask the gate."""
+        request = self._request
+        parts = request.forwarded.split(' ')
+        numbers = [part for part in parts[::3] if part.isdecimal()]
+        if len(parts) != _PART_COUNT or len(numbers) != 2:
+            return calls.Respond(
+                const.STATUS_BAD_REQUEST,
+                const.REASON_FORWARDED,
+                not_run=True,
+            )
+        start_ms = int(parts[3])
+        return calls.Enter(
+            request.attempt,
+            int(parts[0]),
+            parts[1],
+            parts[2],
+            now + (request.deadline_ms or 0),
+            now + start_ms if start_ms else const.NO_LIMIT_AT,
+            request.retried,
+        )
+
+    def resume(self, result: calls.Result, now: int) -> calls.Step:
+        """Pass the answer on, or say how the attempt ended."""
+        rule = rules.find_rule(result.outcome, repeatable=False)
+        if not rule.status:
+            return calls.Relay()
+        return calls.Respond(
+            rule.status,
+            result.reason or result.outcome,
+            rule.not_run,
+            outcome=result.outcome,
+        )
+
+    def apply_guard(self, reply: calls.GuardReply, now: int) -> calls.Step:
+        """Fail, since the node that chose this one asked the guard.
+
+        Raises:
+            RuntimeError: always.
+        """
+        raise RuntimeError('a forwarded call has no guard')
+
+    def cancel(self, now: int) -> bool:
+        """Stop: the node before this one gave up."""
+        return True
--- /dev/null
+++ b/shallotwharf/components/call/plan.py
@@ -0,0 +1,300 @@
+"""The decisions of one call at the node that chooses the upstream."""
+
+import abc
+import random
+import uuid
+
+from shallotwharf.components.call import (
+    chooser,
+    const,
+    index,
+    rules,
+    targets,
+)
+from shallotwharf.core import callports, calls
+
+_KEY_VERSION = 7
+
+
+class Context(abc.ABC):
+    """What a plan needs of the aggregate that made it."""
+
+    __slots__ = ()
+
+    own_node: str
+    directory: targets.Directory
+    random: random.Random
+    observer: callports.Observer
+
+    @abc.abstractmethod
+    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
+        """Return the route of a request in the current version."""
+
+    @abc.abstractmethod
+    def has_version(self) -> bool:
+        """Tell whether a version was applied."""
+
+    @abc.abstractmethod
+    def make_call_id(self) -> str:
+        """Return a new id."""
+
+    @abc.abstractmethod
+    def count(self, name: str) -> None:
+        """Add to a counter."""
+
+
+class CallPlan(callports.Plan):
+    """Match, choose, send and retry.
+
+    It keeps the route and pool of the version that was current when the
+    call began.
+    """
+
+    __slots__ = (
+        '_context',
+        '_request',
+        '_entry',
+        '_call_id',
+        '_deadline_at',
+        '_start_by',
+        '_attempts',
+        '_tried',
+        '_target',
+        '_version',
+        '_sent_at',
+        '_may_have_run',
+        '_guarded',
+    )
+
+    def __init__(self, context: Context, request: calls.Request) -> None:
+        self._context = context
+        self._request = request
+        self._entry: index.RouteEntry | None = None
+        self._call_id = ''
+        self._deadline_at = 0
+        self._start_by = const.NO_LIMIT_AT
+        self._attempts = 0
+        self._tried: set[str] = set()
+        self._target: targets.Target | None = None
+        self._version = ''
+        self._sent_at = 0
+        self._may_have_run = False
+        self._guarded = False
+
+    def start(self, now: int) -> calls.Step:
+        """Match the route; choose an upstream or ask the guard."""
+        request = self._request
+        entry = self._context.find_route(request.method, request.path)
+        if entry is None:
+            return self._respond_unmatched()
+        self._entry = entry
+        limit_ms = entry.row.timeout_ms
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        self._deadline_at = now + limit_ms
+        self._call_id = self._context.make_call_id()
+        if not request.retried:
+            entry.pool.budget.note_call()
+        if not entry.row.once_only:
+            return self._choose(now)
+        if not _is_key(request.key):
+            return self._respond(const.STATUS_BAD_REQUEST, const.REASON_KEY)
+        return calls.Guard()
+
+    def apply_guard(self, reply: calls.GuardReply, now: int) -> calls.Step:
+        """Run a granted call, otherwise answer what the guard says."""
+        if isinstance(reply, calls.Granted):
+            self._guarded = True
+            self._start_by = reply.expires_at
+            return self._choose(now)
+        if isinstance(reply, calls.Replayed):
+            return calls.Replay(reply.status, reply.content_type, reply.body)
+        if not isinstance(reply, calls.Denied):
+            raise TypeError(f'{reply!r} is not a reply of the guard')
+        self._may_have_run = not reply.not_run
+        return self._respond(const.STATUS_UNAVAILABLE, reply.reason)
+
+    def resume(self, result: calls.Result, now: int) -> calls.Step:
+        """Pass an answer on, try again or give up."""
+        target = self._release(result, now)
+        entry = self._read_entry()
+        rule = rules.find_rule(result.outcome, entry.row.idempotent)
+        self._observe(rule, result, now)
+        if not rule.not_run:
+            self._may_have_run = True
+        if not rule.status:
+            return calls.Relay()
+        self._tried.add(target.announcement.node.name)
+        reason = result.reason or result.outcome
+        if not rule.retry or reason in const.FINAL_REASONS:
+            return self._respond(rule.status, reason)
+        denied = self._find_denial(now)
+        if denied:
+            self._context.count(f'{const.COUNTER_RETRY_DENIED}{denied}')
+            return self._respond(rule.status, reason)
+        self._context.count(f'{const.COUNTER_RETRIED}{reason}')
+        return self._choose(now)
+
+    def cancel(self, now: int) -> bool:
+        """Stop unless the call is once-only: its answer must be stored."""
+        if self._guarded:
+            return False
+        if self._target is not None:
+            self._release(calls.Result(calls.OUTCOME_CANCELLED), now)
+        return True
+
+    def _release(self, result: calls.Result, now: int) -> targets.Target:
+        target = self._target
+        if target is None:
+            raise RuntimeError('no attempt is under way')
+        self._target = None
+        target.in_flight -= 1
+        if result.outcome == calls.OUTCOME_UNREACHED:
+            target.avoid_until = now + const.AVOID_UNREACHED_MS
+        elif result.outcome == calls.OUTCOME_REFUSED:
+            target.avoid_until = now + const.AVOID_REFUSED_MS
+        return target
+
+    def _observe(
+        self,
+        rule: rules.Rule,
+        result: calls.Result,
+        now: int,
+    ) -> None:
+        entry = self._read_entry()
+        duration_ms = now - self._sent_at
+        slow_ms = entry.pool.row.slow_ms
+        observed = rules.classify(rule, result, duration_ms, slow_ms)
+        if observed:
+            self._context.observer.observe(
+                callports.Observation(
+                    entry.row.name,
+                    entry.pool.row.name,
+                    self._version,
+                    observed,
+                    duration_ms,
+                ),
+                now,
+            )
+
+    def _find_denial(self, now: int) -> str:
+        """Return why no retry is allowed; empty if one is."""
+        entry = self._read_entry()
+        if self._request.retried:
+            return const.DENIED_DEEPER
+        if self._attempts > entry.row.retries:
+            return const.DENIED_LIMIT
+        if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
+            return const.DENIED_DEADLINE
+        if not entry.pool.budget.take(now):
+            return const.DENIED_BUDGET
+        return ''
+
+    def _choose(self, now: int) -> calls.Step:
+        context = self._context
+        pool = self._read_entry().pool
+        version = chooser.choose_version(
+            pool, context.directory, context.random
+        )
+        target = None
+        if version is not None:
+            target = chooser.choose_target(
+                context.directory.find_groups(pool.row.service, version),
+                self._tried,
+                context.random,
+                now,
+            )
+        if version is None or target is None:
+            return self._respond(
+                const.STATUS_UNAVAILABLE,
+                const.REASON_NO_UPSTREAM,
+            )
+        self._version = version
+        return self._send(target, now)
+
+    def _send(self, target: targets.Target, now: int) -> calls.Step:
+        cut_ms = const.HOP_CUT_MS + target.latency_ms
+        if now + cut_ms >= min(self._deadline_at, self._start_by):
+            return self._respond(
+                const.STATUS_TIMEOUT,
+                const.REASON_DEADLINE,
+            )
+        if target.latency_ms:
+            self._context.count(const.COUNTER_SPILLED)
+        self._attempts += 1
+        self._sent_at = now
+        self._target = target
+        target.in_flight += 1
+        if target.announcement.node.name == self._context.own_node:
+            return self._build_enter(target)
+        return self._build_forward(target, cut_ms, now)
+
+    def _build_enter(self, target: targets.Target) -> calls.Step:
+        return calls.Enter(
+            f'{self._call_id}.{self._attempts}',
+            self._read_entry().rank,
+            target.announcement.service,
+            target.announcement.version,
+            self._deadline_at - const.HOP_CUT_MS,
+            self._start_by,
+            self._is_retry(),
+        )
+
+    def _build_forward(
+        self,
+        target: targets.Target,
+        cut_ms: int,
+        now: int,
+    ) -> calls.Step:
+        row = target.announcement
+        start_ms = 0
+        if self._start_by != const.NO_LIMIT_AT:
+            start_ms = max(self._start_by - now - const.START_MARGIN_MS, 1)
+        rank = self._read_entry().rank
+        return calls.Forward(
+            f'{self._call_id}.{self._attempts}',
+            row.node.host,
+            row.node.call_port,
+            f'{rank} {row.service} {row.version} {start_ms}',
+            self._deadline_at,
+            cut_ms,
+            self._is_retry(),
+        )
+
+    def _is_retry(self) -> bool:
+        return self._request.retried or self._attempts > 1
+
+    def _read_entry(self) -> index.RouteEntry:
+        if self._entry is None:
+            raise RuntimeError('the call has no route')
+        return self._entry
+
+    def _respond_unmatched(self) -> calls.Step:
+        if self._context.has_version():
+            return self._respond(
+                const.STATUS_NOT_FOUND,
+                const.REASON_UNKNOWN_ROUTE,
+            )
+        return self._respond(
+            const.STATUS_UNAVAILABLE,
+            const.REASON_NO_VERSION,
+        )
+
+    def _respond(self, status: int, reason: str) -> calls.Step:
+        self._context.count(f'{const.COUNTER_REFUSED}{reason}')
+        retry_after_s = 0
+        if status == const.STATUS_UNAVAILABLE:
+            retry_after_s = const.RETRY_AFTER_S
+        return calls.Respond(
+            status,
+            reason,
+            not self._may_have_run,
+            retry_after_s,
+        )
+
+
+def _is_key(key: str) -> bool:
+    try:
+        return uuid.UUID(key).version == _KEY_VERSION
+    except ValueError:
+        return False
--- /dev/null
+++ b/shallotwharf/components/call/targets.py
@@ -0,0 +1,226 @@
+"""Upstreams as their announcements and the own calls show them."""
+
+import random
+from collections import abc
+
+from shallotwharf.components.call import const
+from shallotwharf.components.membership import messages as membership
+
+OPEN_STATES = frozenset(
+    (membership.UPSTREAM_WARMING, membership.UPSTREAM_READY),
+)
+
+
+class Target:
+    """An upstream that may be chosen.
+
+    Attributes:
+        announcement: what its node said last.
+        latency_ms: one-way latency to its node.
+        in_flight: own attempts that run there.
+        avoid_until: it is chosen before then only if nothing else is left.
+    """
+
+    __slots__ = (
+        'announcement',
+        'latency_ms',
+        'in_flight',
+        'avoid_until',
+        '_known_in_flight',
+    )
+
+    def __init__(
+        self,
+        announcement: membership.Announcement,
+        latency_ms: int,
+    ) -> None:
+        self.announcement = announcement
+        self.latency_ms = latency_ms
+        self.in_flight = 0
+        self.avoid_until = 0
+        self._known_in_flight = 0
+
+    def update(self, announcement: membership.Announcement) -> None:
+        """Take a newer announcement."""
+        self.announcement = announcement
+        self._known_in_flight = self.in_flight
+
+    def estimate_spare(self) -> int:
+        """Return the announced spare slots less own attempts since then."""
+        started = self.in_flight - self._known_in_flight
+        return self.announcement.spare - started
+
+
+class Group:
+    """Upstreams of one version of a service in one data centre."""
+
+    __slots__ = ('latency_ms', 'targets')
+
+    def __init__(self, latency_ms: int, targets: list[Target]) -> None:
+        self.latency_ms = latency_ms
+        self.targets = targets
+
+    def pick(
+        self,
+        source: random.Random,
+        tried: abc.Container[str],
+        now: int,
+    ) -> Target:
+        """Return the better of two at random, or the best if neither has room.
+
+        A group is small, since it holds one version of one service in one
+        data centre.
+        """
+        if len(self.targets) == 1:
+            return self.targets[0]
+        picked = self._pick_two(source)
+        better = find_best(picked, tried, now)
+        if has_room(better, tried, now):
+            return better
+        return find_best(self.targets, tried, now)
+
+    def _pick_two(self, source: random.Random) -> list[Target]:
+        """Return two different targets."""
+        others = len(self.targets) - 1
+        first = int(source.random() * (others + 1))
+        second = int(source.random() * others)
+        if second >= first:
+            second += 1
+        return [self.targets[first], self.targets[second]]
+
+
+def has_room(
+    target: Target,
+    tried: abc.Container[str],
+    now: int,
+) -> bool:
+    """Tell whether a target seems able to take an attempt."""
+    return (
+        target.estimate_spare() > 0
+        and now >= target.avoid_until
+        and target.announcement.node.name not in tried
+    )
+
+
+def find_best(
+    candidates: list[Target],
+    tried: abc.Container[str],
+    now: int,
+) -> Target:
+    """Return the target with the highest rating."""
+    return max(
+        candidates,
+        key=lambda target: rate_target(target, tried, now),
+    )
+
+
+def rate_target(
+    target: Target,
+    tried: abc.Container[str],
+    now: int,
+) -> tuple[bool, bool, int, int]:
+    """Return a rating; the higher one is chosen."""
+    return (
+        target.announcement.node.name not in tried,
+        now >= target.avoid_until,
+        target.estimate_spare(),
+        -target.in_flight,
+    )
+
+
+class Directory:
+    """Targets by service and version, nearest data centre first."""
+
+    __slots__ = ('_own', '_targets', '_groups')
+
+    def __init__(self, own: membership.Member) -> None:
+        self._own = own
+        self._targets: dict[str, Target] = {}
+        self._groups: dict[tuple[str, str], list[Group]] = {}
+
+    def find_groups(self, service: str, version: str) -> list[Group]:
+        """Return the groups, nearest first; empty if there is none."""
+        return self._groups.get((service, version), [])
+
+    def list_targets(self, service: str) -> list[Target]:
+        """Return all targets of a service, for reports."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.announcement.service == service
+        ]
+
+    def replace(
+        self,
+        announcements: tuple[membership.Announcement, ...],
+    ) -> None:
+        """Take all current announcements.
+
+        Groups are rebuilt only if an upstream came, went or changed; new
+        values of spare slots do not touch them.
+        """
+        changed = self._drop_missing(announcements)
+        for announcement in announcements:
+            if self._apply(announcement):
+                changed = True
+        if changed:
+            self._build_groups()
+
+    def _drop_missing(
+        self,
+        announcements: tuple[membership.Announcement, ...],
+    ) -> bool:
+        if len(announcements) >= len(self._targets):
+            known = self._targets
+            if all(row.node.name in known for row in announcements):
+                return False
+        names = {row.node.name for row in announcements}
+        missing = [name for name in self._targets if name not in names]
+        for name in missing:
+            self._targets.pop(name)
+        return bool(missing)
+
+    def _apply(self, announcement: membership.Announcement) -> bool:
+        target = self._targets.get(announcement.node.name)
+        if target is None:
+            self._targets[announcement.node.name] = Target(
+                announcement,
+                estimate_latency_ms(self._own, announcement.node),
+            )
+            return True
+        previous = target.announcement
+        if announcement.generation <= previous.generation:
+            return False
+        target.update(announcement)
+        return _read_place(announcement) != _read_place(previous)
+
+    def _build_groups(self) -> None:
+        places: dict[tuple[str, str, str], list[Target]] = {}
+        for target in self._targets.values():
+            row = target.announcement
+            if row.state in OPEN_STATES:
+                place = (row.service, row.version, row.node.datacentre)
+                places.setdefault(place, []).append(target)
+        self._groups = {}
+        for (service, version, _), targets in sorted(places.items()):
+            self._groups.setdefault((service, version), []).append(
+                Group(targets[0].latency_ms, targets),
+            )
+        for groups in self._groups.values():
+            groups.sort(key=lambda group: group.latency_ms)
+
+
+def estimate_latency_ms(
+    own: membership.Member,
+    other: membership.Member,
+) -> int:
+    """Return the one-way latency between two nodes by their places."""
+    if own.datacentre == other.datacentre:
+        return 0
+    if own.region == other.region:
+        return const.REGION_LATENCY_MS
+    return const.REMOTE_LATENCY_MS
+
+
+def _read_place(row: membership.Announcement) -> tuple[object, ...]:
+    return row.service, row.version, row.state, row.node
--- /dev/null
+++ b/shallotwharf/components/upstream/const.py
@@ -0,0 +1,42 @@
+"""Reasons of refusal, counters and limits of the gate."""
+
+import typing
+
+REASON_SLOTS_FULL: typing.Final = 'slots_full'
+REASON_QUEUE_FULL: typing.Final = 'queue_full'
+REASON_DEADLINE: typing.Final = 'deadline_too_short'
+REASON_DRAINING: typing.Final = 'draining'
+REASON_WARMING: typing.Final = 'warming'
+REASON_UNHEALTHY: typing.Final = 'unhealthy'
+REASON_POISON: typing.Final = 'poison_request'
+# The caller's node acted on an announcement that is out of date.
+REASON_NO_UPSTREAM: typing.Final = 'no_upstream'
+REASON_WRONG_UPSTREAM: typing.Final = 'wrong_upstream'
+
+COUNTER_REFUSED: typing.Final = 'upstream.refused.'
+COUNTER_QUEUED: typing.Final = 'upstream.queued'
+COUNTER_CRASHES: typing.Final = 'upstream.crashes'
+
+TIMER_QUEUE: typing.Final = 'queue'
+TIMER_ANNOUNCE: typing.Final = 'announce'
+
+# Longer waits turn into late answers; a refusal can still run elsewhere.
+DEFAULT_QUEUE_WAIT_MS: typing.Final = 50
+DEFAULT_QUEUE_LIMIT: typing.Final = 16
+DEFAULT_WARMUP_MS: typing.Final = 10_000
+# Changes of spare slots are announced at most this often.
+DEFAULT_ANNOUNCE_INTERVAL_MS: typing.Final = 200
+MAX_WARMUP_MS: typing.Final = 600_000
+MAX_SLOTS: typing.Final = 10_000
+
+# Failures in a row after which the upstream counts as unhealthy.
+FAILURE_LIMIT: typing.Final = 5
+# An unhealthy upstream gets one trial request after this time, which
+# doubles with each failed trial.
+TRIAL_DELAY_MS: typing.Final = 200
+MAX_TRIAL_DELAY_MS: typing.Final = 5000
+# The health endpoint lags; it counts only if no request of this period
+# showed how the upstream does.
+OWN_EVIDENCE_MS: typing.Final = 2000
+# Weight of one answer in the estimate of the shortest run time.
+RUN_TIME_WEIGHT: typing.Final = 0.02
--- /dev/null
+++ b/shallotwharf/components/upstream/evidence.py
@@ -0,0 +1,85 @@
+"""What the ends of requests say of the upstream."""
+
+import types
+import typing
+
+from shallotwharf.components.poison import messages as poison
+from shallotwharf.components.upstream import const, health, running
+from shallotwharf.core import calls, effects
+
+
+class Evidence:
+    """Running requests, and the health and crashes that their ends show.
+
+    Attributes:
+        running: requests that hold a slot.
+        health: health of the upstream.
+    """
+
+    __slots__ = ('running', 'health', '_node', '_crashes')
+
+    def __init__(self, node: str) -> None:
+        self.running = running.RunningRequests()
+        self.health = health.Health()
+        self._node = node
+        self._crashes = 0
+
+    def restart(self) -> None:
+        """Forget what an earlier instance of the upstream showed."""
+        self.health = health.Health()
+        self.running.shortest_ms = 0
+
+    def begin(self, attempt: str, request: calls.Request, now: int) -> None:
+        """Note a request that was admitted."""
+        self.running.add(attempt, request, now)
+        self.health.note_started(attempt)
+
+    def end(
+        self,
+        attempt: str,
+        outcome: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note the end of a request; return the effects of a crash."""
+        crash = getattr(self, _ENDS[outcome])(attempt, now)
+        self.running.remove(attempt)
+        return crash or []
+
+    def end_answered(self, attempt: str, now: int) -> None:
+        """Note a whole answer, whatever its status."""
+        self.running.note_answer(attempt, now)
+        self.health.note_success(attempt, now)
+
+    def end_late(self, attempt: str, now: int) -> None:
+        """Note that no answer came in time."""
+        self.health.note_failure(attempt, now)
+
+    def end_unreached(self, attempt: str, now: int) -> None:
+        """Note a refused connection."""
+        self.health.note_unreachable(attempt, now)
+
+    def end_abandoned(self, attempt: str, _now: int) -> None:
+        """Note that the caller went away."""
+        self.health.note_abandoned(attempt)
+
+    def end_closed(self, attempt: str, now: int) -> list[effects.Effect]:
+        """Note a connection that closed before the whole answer."""
+        self.health.note_failure(attempt, now)
+        digests = self.running.note_crash(attempt)
+        if not digests:
+            return []
+        self._crashes += 1
+        seen = poison.CrashSeen(self._node, self._crashes, digests)
+        return [effects.Count(const.COUNTER_CRASHES), effects.Publish(seen)]
+
+
+# How each end of an attempt at the upstream is taken.
+_ENDS: typing.Final = types.MappingProxyType(
+    {
+        calls.OUTCOME_ANSWERED: 'end_answered',
+        calls.OUTCOME_CLOSED: 'end_closed',
+        calls.OUTCOME_UNREACHED: 'end_unreached',
+        calls.OUTCOME_LATE: 'end_late',
+        calls.OUTCOME_CANCELLED: 'end_abandoned',
+    },
+)
--- /dev/null
+++ b/shallotwharf/components/upstream/gate.py
@@ -0,0 +1,279 @@
+"""The gate: the only way in to the upstream beside a node."""
+
+import typing
+
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.upstream import (
+    announcer,
+    const,
+    evidence,
+    offer,
+    queue,
+    settings,
+)
+from shallotwharf.components.upstream import messages as upstream
+from shallotwharf.core import callports, calls, direct, effects, messages
+
+
+class Gate(direct.DirectAggregate, callports.Gate):
+    """Busy slots, queue, warm-up, drain and health of one upstream."""
+
+    __slots__ = (
+        '_limits',
+        '_poison',
+        '_announcer',
+        '_offer',
+        '_evidence',
+        '_queue',
+        '_timer_at',
+    )
+
+    name = 'upstream'
+    handlers: typing.ClassVar = {
+        upstream.UpstreamStarted: 'apply_started',
+        upstream.DrainRequested: 'apply_drain',
+        upstream.UpstreamLeft: 'apply_left',
+        upstream.HealthReported: 'apply_health',
+        messages.TimerFired: 'fire_timer',
+    }
+
+    def __init__(
+        self,
+        node: membership.Member,
+        limits: settings.GateSettings,
+        poison_list: callports.PoisonList,
+        generation: int,
+    ) -> None:
+        """Create the gate of a node whose upstream has not started.
+
+        Args:
+            node: the node, as it is announced.
+            limits: of queue and announcements.
+            poison_list: digests to refuse.
+            generation: see `announcer.Announcer`.
+        """
+        super().__init__()
+        self._limits = limits
+        self._poison = poison_list
+        self._announcer = announcer.Announcer(
+            node,
+            limits.announce_interval_ms,
+            generation,
+        )
+        self._offer = offer.Offer()
+        self._evidence = evidence.Evidence(node.name)
+        self._queue = queue.AdmissionQueue(limits.queue_limit)
+        self._timer_at: int | None = None
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Do nothing until the upstream announces itself."""
+        return []
+
+    def apply_started(
+        self,
+        message: upstream.UpstreamStarted,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Offer the slots of an upstream, growing over its warm-up."""
+        if self._offer.start(message, now):
+            self._evidence.restart()
+        return self._settle(now)
+
+    def apply_drain(
+        self,
+        _message: upstream.DrainRequested,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Refuse what waits and what comes; running requests finish."""
+        if self._offer.drain():
+            self._refuse_waiting(const.REASON_DRAINING)
+        return self._settle(now)
+
+    def apply_left(
+        self,
+        _message: upstream.UpstreamLeft,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Announce that the upstream is gone; running requests finish."""
+        self._refuse_waiting(const.REASON_NO_UPSTREAM)
+        self._offer.state = membership.UPSTREAM_GONE
+        self._announce(now)
+        self._offer.started = None
+        return self.take_effects()
+
+    def apply_health(
+        self,
+        message: upstream.HealthReported,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Take the endpoint's word where requests give no evidence."""
+        self._evidence.health.note_endpoint(message.healthy, now)
+        return self._settle(now)
+
+    def fire_timer(
+        self,
+        message: messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Refuse what waited too long, or announce the spare slots."""
+        if message.name == const.TIMER_ANNOUNCE:
+            self._announcer.note_timer()
+        else:
+            self._timer_at = None
+        return self._settle(now)
+
+    def enter(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        now: int,
+    ) -> calls.Admission:
+        """Admit, queue or refuse an attempt."""
+        reason = self._find_refusal(step, request, now)
+        if reason:
+            return self._refuse(reason)
+        if self._queue:
+            self._pump(now)
+        if not self._queue and self._has_room(now):
+            admitted = self._admit(step, request, now)
+            self._announce(now)
+            return admitted
+        return self._wait(step, request, now)
+
+    def leave(self, attempt: str, result: calls.Result, now: int) -> None:
+        """Note the end of an attempt that was admitted or queued."""
+        if attempt not in self._evidence.running:
+            self._queue.remove(attempt)
+            return
+        self.outbox.extend(self._evidence.end(attempt, result.outcome, now))
+        if self._queue:
+            self._pump(now)
+        self._announce(now)
+
+    def count_running(self) -> int:
+        """Return the requests that run."""
+        return len(self._evidence.running)
+
+    def _has_room(self, now: int) -> bool:
+        return len(self._evidence.running) < self._offer.count(now)
+
+    def _find_refusal(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        now: int,
+    ) -> str:
+        mismatch = self._offer.find_refusal(step)
+        if mismatch:
+            return mismatch
+        if not self._poison.is_empty() and self._poison.refuses(
+            request.compute_digest(),
+            now,
+        ):
+            return const.REASON_POISON
+        earliest = now + self._evidence.running.shortest_ms
+        if earliest >= step.deadline_at or now >= step.start_by:
+            return const.REASON_DEADLINE
+        if not self._evidence.health.admits(now):
+            return const.REASON_UNHEALTHY
+        return ''
+
+    def _admit(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        now: int,
+    ) -> calls.Admission:
+        self._evidence.begin(step.attempt, request, now)
+        started = typing.cast(upstream.UpstreamStarted, self._offer.started)
+        return calls.Admitted(started.host, started.port)
+
+    def _wait(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        now: int,
+    ) -> calls.Admission:
+        limits = (
+            (int(step.deadline_at - self._evidence.running.shortest_ms), True),
+            (step.start_by, True),
+            (now + self._limits.queue_wait_ms, False),
+        )
+        expires_at, is_deadline = min(limits)
+        entry = queue.Entry(step, request, expires_at, is_deadline)
+        displaced = self._queue.push(entry)
+        if displaced is entry:
+            return self._refuse(
+                self._offer.name_shortage(self._limits.queue_limit, now),
+            )
+        if displaced is not None:
+            self._answer(
+                displaced.step.attempt,
+                self._refuse(const.REASON_QUEUE_FULL),
+            )
+        self.outbox.append(effects.Count(const.COUNTER_QUEUED))
+        self._set_queue_timer(now)
+        return calls.Queued()
+
+    def _pump(self, now: int) -> None:
+        """Refuse what cannot wait any longer, then admit what has room."""
+        for late in self._queue.take_expired(now):
+            reason = const.REASON_SLOTS_FULL
+            if late.is_deadline:
+                reason = const.REASON_DEADLINE
+            self._answer(late.step.attempt, self._refuse(reason))
+        if not self._evidence.health.admits(now):
+            self._refuse_waiting(const.REASON_UNHEALTHY)
+        while self._queue and self._has_room(now):
+            entry = self._queue.pop()
+            self._answer(
+                entry.step.attempt,
+                self._admit(entry.step, entry.request, now),
+            )
+            if not self._evidence.health.healthy:
+                return
+
+    def _settle(self, now: int) -> list[effects.Effect]:
+        if self._queue:
+            self._pump(now)
+            self._set_queue_timer(now)
+        self._announce(now)
+        return self.take_effects()
+
+    def _set_queue_timer(self, now: int) -> None:
+        if not self._queue:
+            return
+        due = self._queue.find_next_expiry()
+        growth = self._offer.find_next_growth(now)
+        if growth is not None:
+            due = min(due, growth)
+        if self._timer_at is None or due < self._timer_at:
+            self._timer_at = due
+            self.outbox.append(effects.SetTimer(const.TIMER_QUEUE, due))
+
+    def _announce(self, now: int) -> None:
+        started = self._offer.started
+        if started is None:
+            return
+        spare = 0
+        if self._evidence.health.healthy:
+            spare = max(self._offer.count(now) - len(self._evidence.running), 0)
+        self.outbox.extend(
+            self._announcer.note(started, self._offer.state, spare, now),
+        )
+
+    def _refuse(self, reason: str) -> calls.Refused:
+        self.outbox.append(effects.Count(f'{const.COUNTER_REFUSED}{reason}'))
+        return calls.Refused(reason)
+
+    def _answer(self, attempt: str, admission: calls.Admission) -> None:
+        self.outbox.append(effects.Answer(attempt, admission))
+
+    def _refuse_waiting(self, reason: str) -> None:
+        for entry in self._queue.take_all():
+            self._answer(entry.step.attempt, self._refuse(reason))
--- /dev/null
+++ b/shallotwharf/components/upstream/offer.py
@@ -0,0 +1,81 @@
+"""Slots that a gate offers while its upstream warms up, serves or drains."""
+
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.upstream import const
+from shallotwharf.components.upstream import messages as upstream
+from shallotwharf.core import calls
+
+
+class Offer:
+    """State of the upstream as it announced itself.
+
+    Attributes:
+        started: the announcement; none if there is no upstream.
+        state: one of the `UPSTREAM_` names of the membership.
+    """
+
+    __slots__ = ('started', 'state', '_warm_from')
+
+    def __init__(self) -> None:
+        self.started: upstream.UpstreamStarted | None = None
+        self.state = membership.UPSTREAM_GONE
+        self._warm_from = 0
+
+    def start(self, started: upstream.UpstreamStarted, now: int) -> bool:
+        """Start the warm-up; return False for a repeated announcement."""
+        if started == self.started:
+            return False
+        self.started = started
+        self.state = membership.UPSTREAM_WARMING
+        self._warm_from = now
+        return True
+
+    def drain(self) -> bool:
+        """Offer no more slots; return False if there is no upstream."""
+        if self.started is None:
+            return False
+        self.state = membership.UPSTREAM_DRAINING
+        return True
+
+    def count(self, now: int) -> int:
+        """Return the slots on offer; they grow linearly while warming."""
+        if self.started is None or self.state == membership.UPSTREAM_DRAINING:
+            return 0
+        slots = self.started.slots
+        if self.state != membership.UPSTREAM_WARMING:
+            return slots
+        warm_ms = now - self._warm_from
+        if warm_ms >= self.started.warmup_ms:
+            self.state = membership.UPSTREAM_READY
+            return slots
+        return max(1, slots * warm_ms // self.started.warmup_ms)
+
+    def find_next_growth(self, now: int) -> int | None:
+        """Return when the next slot is offered; none if not warming."""
+        if self.started is None or self.state != membership.UPSTREAM_WARMING:
+            return None
+        warmup_ms = self.started.warmup_ms
+        step_ms = -(-warmup_ms // self.started.slots)
+        return now + max(1, min(step_ms, self._warm_from + warmup_ms - now))
+
+    def name_shortage(self, queue_limit: int, now: int) -> str:
+        """Return why an attempt found neither a slot nor a place to wait."""
+        self.count(now)
+        if self.state == membership.UPSTREAM_WARMING:
+            return const.REASON_WARMING
+        if queue_limit:
+            return const.REASON_QUEUE_FULL
+        return const.REASON_SLOTS_FULL
+
+    def find_refusal(self, step: calls.Enter) -> str:
+        """Return why an attempt is not for this upstream; empty if it is."""
+        if self.started is None:
+            return const.REASON_NO_UPSTREAM
+        if self.state == membership.UPSTREAM_DRAINING:
+            return const.REASON_DRAINING
+        if (
+            step.service != self.started.service
+            or step.version != self.started.version
+        ):
+            return const.REASON_WRONG_UPSTREAM
+        return ''
--- /dev/null
+++ b/shallotwharf/components/upstream/queue.py
@@ -0,0 +1,116 @@
+"""Short queue of attempts by priority."""
+
+import collections
+
+from shallotwharf.core import calls
+
+
+class Entry:
+    """An attempt that waits.
+
+    Attributes:
+        step: the attempt.
+        request: its request.
+        expires_at: when it is refused, in clock milliseconds.
+        is_deadline: whether that is due to its own deadline.
+    """
+
+    __slots__ = ('step', 'request', 'expires_at', 'is_deadline')
+
+    def __init__(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        expires_at: int,
+        is_deadline: bool,
+    ) -> None:
+        self.step = step
+        self.request = request
+        self.expires_at = expires_at
+        self.is_deadline = is_deadline
+
+
+class AdmissionQueue:
+    """Lowest rank first, first in first out within a rank.
+
+    At most `limit` entries wait, so that a scan is short.
+    """
+
+    __slots__ = ('_limit', '_ranks', '_length')
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._ranks: dict[int, collections.deque[Entry]] = {}
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, entry: Entry) -> Entry | None:
+        """Add an entry; return the one that has no place, if any.
+
+        That is the newest entry of the highest rank, which may be the one
+        that was to be added.
+        """
+        self._ranks.setdefault(
+            entry.step.rank,
+            collections.deque(),
+        ).append(entry)
+        self._length += 1
+        if self._length <= self._limit:
+            return None
+        self._length -= 1
+        last = max(rank for rank, waiting in self._ranks.items() if waiting)
+        return self._ranks[last].pop()
+
+    def pop(self) -> Entry:
+        """Remove and return the first entry.
+
+        Raises:
+            IndexError: if the queue is empty.
+        """
+        for rank in sorted(self._ranks):
+            waiting = self._ranks[rank]
+            if waiting:
+                self._length -= 1
+                return waiting.popleft()
+        raise IndexError('the queue is empty')
+
+    def remove(self, attempt: str) -> bool:
+        """Remove the entry of an attempt; return whether there was one."""
+        for waiting in self._ranks.values():
+            for entry in waiting:
+                if entry.step.attempt == attempt:
+                    waiting.remove(entry)
+                    self._length -= 1
+                    return True
+        return False
+
+    def take_expired(self, now: int) -> list[Entry]:
+        """Remove and return the entries whose time has passed."""
+        expired: list[Entry] = []
+        for rank, waiting in self._ranks.items():
+            late = [entry for entry in waiting if entry.expires_at <= now]
+            if late:
+                expired.extend(late)
+                self._ranks[rank] = collections.deque(
+                    entry for entry in waiting if entry.expires_at > now
+                )
+        self._length -= len(expired)
+        return expired
+
+    def take_all(self) -> list[Entry]:
+        """Remove and return all entries, first to last."""
+        return [self.pop() for _ in range(self._length)]
+
+    def find_next_expiry(self) -> int:
+        """Return when the first entry expires.
+
+        Raises:
+            ValueError: if the queue is empty.
+        """
+        return min(
+            entry.expires_at
+            for waiting in self._ranks.values()
+            for entry in waiting
+        )
--- /dev/null
+++ b/shallotwharf/components/upstream/settings.py
@@ -0,0 +1,27 @@
+"""Limits of a gate."""
+
+from shallotwharf.components.upstream import const
+from shallotwharf.core import records
+
+
+class GateSettings(records.Record):
+    """Limits of a gate.
+
+    Attributes:
+        queue_limit: attempts that wait at once; 0 for no queue.
+        queue_wait_ms: longest time an attempt waits.
+        announce_interval_ms: shortest time between two values of spare
+            slots.
+    """
+
+    __slots__ = ('queue_limit', 'queue_wait_ms', 'announce_interval_ms')
+
+    def __init__(
+        self,
+        queue_limit: int = const.DEFAULT_QUEUE_LIMIT,
+        queue_wait_ms: int = const.DEFAULT_QUEUE_WAIT_MS,
+        announce_interval_ms: int = const.DEFAULT_ANNOUNCE_INTERVAL_MS,
+    ) -> None:
+        self.queue_limit = queue_limit
+        self.queue_wait_ms = queue_wait_ms
+        self.announce_interval_ms = announce_interval_ms
--- /dev/null
+++ b/shallotwharf/core/calls.py
@@ -0,0 +1,313 @@
+"""What the HTTP adapters and the components tell each other of one call.
+
+The adapters carry out steps and report results; the components decide.
+"""
+
+import hashlib
+import typing
+
+from shallotwharf.core import messages, records
+
+# How an attempt ended.
+OUTCOME_ANSWERED: typing.Final = 'answered'
+OUTCOME_REFUSED: typing.Final = 'refused'
+OUTCOME_UNREACHED: typing.Final = 'unreached'
+OUTCOME_CLOSED: typing.Final = 'closed'
+OUTCOME_CROSSED: typing.Final = 'crossed'
+OUTCOME_LATE: typing.Final = 'late'
+OUTCOME_CANCELLED: typing.Final = 'cancelled'
+
+# What an observer is told of an attempt that may have run.
+OBSERVED_OK: typing.Final = 'ok'
+OBSERVED_ERROR: typing.Final = 'error'
+OBSERVED_SLOW: typing.Final = 'slow'
+OBSERVED_CRASH: typing.Final = 'crash'
+
+
+class Request(records.Record):
+    """A request as it arrived, with its body in memory.
+
+    Attributes:
+        method: HTTP method.
+        target: path and query as the caller wrote them.
+        body: the whole body.
+        deadline_ms: milliseconds that remained when it arrived, if stated.
+        retried: whether a hop before this one already retries.
+        attempt: id given by the node before this one; empty from a caller.
+        forwarded: what the node before this one chose; empty from a caller.
+        key: value of the `Idempotency-Key` header; empty if none.
+    """
+
+    __slots__ = (
+        'method',
+        'target',
+        'body',
+        'deadline_ms',
+        'retried',
+        'attempt',
+        'forwarded',
+        'key',
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        deadline_ms: int | None = None,
+        retried: bool = False,
+        attempt: str = '',
+        forwarded: str = '',
+        key: str = '',
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.body = body
+        self.deadline_ms = deadline_ms
+        self.retried = retried
+        self.attempt = attempt
+        self.forwarded = forwarded
+        self.key = key
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
+
+    def compute_digest(self) -> bytes:
+        """Return the SHA-256 digest of method, target and body, 32 bytes."""
+        start = f'{self.method}\n{self.target}\n'.encode('utf-8', 'replace')
+        digest = hashlib.sha256(start)
+        digest.update(self.body)
+        return digest.digest()
+
+
+class Result(records.Record):
+    """How an attempt ended.
+
+    Attributes:
+        outcome: one of the `OUTCOME_` names.
+        reason: why, unless it was answered.
+        status: HTTP status of a whole answer, otherwise 0.
+    """
+
+    __slots__ = ('outcome', 'reason', 'status')
+
+    def __init__(
+        self,
+        outcome: str,
+        reason: str = '',
+        status: int = 0,
+    ) -> None:
+        self.outcome = outcome
+        self.reason = reason
+        self.status = status
+
+
+class Step(records.Record):
+    """Base of what an adapter does next for a call."""
+
+    __slots__ = ()
+
+
+class Enter(Step):
+    """Ask the gate of this node, then send to the upstream beside it.
+
+    Attributes:
+        attempt: unique id of the attempt.
+        rank: place in the queue of the gate; 0 is first.
+        service: service that was chosen.
+        version: version of the service that was chosen.
+        deadline_at: when the answer is late, in clock milliseconds.
+        start_by: it must not reach the upstream later, in clock
+            milliseconds.
+        retried: whether a later hop must not retry.
+    """
+
+    __slots__ = (
+        'attempt',
+        'rank',
+        'service',
+        'version',
+        'deadline_at',
+        'start_by',
+        'retried',
+    )
+
+    def __init__(
+        self,
+        attempt: str,
+        rank: int,
+        service: str,
+        version: str,
+        deadline_at: int,
+        start_by: int,
+        retried: bool,
+    ) -> None:
+        self.attempt = attempt
+        self.rank = rank
+        self.service = service
+        self.version = version
+        self.deadline_at = deadline_at
+        self.start_by = start_by
+        self.retried = retried
+
+
+class Forward(Step):
+    """Send to the call port of another node.
+
+    Attributes:
+        attempt: unique id of the attempt; the answer must echo it.
+        host: IP number of the node.
+        port: its port for calls.
+        forwarded: value of the `Shallotwharf-Forwarded` header.
+        deadline_at: when the answer is late, in clock milliseconds.
+        cut_ms: how much sooner the node that is called must answer.
+        retried: whether a later hop must not retry.
+    """
+
+    __slots__ = (
+        'attempt',
+        'host',
+        'port',
+        'forwarded',
+        'deadline_at',
+        'cut_ms',
+        'retried',
+    )
+
+    def __init__(
+        self,
+        attempt: str,
+        host: str,
+        port: int,
+        forwarded: str,
+        deadline_at: int,
+        cut_ms: int,
+        retried: bool,
+    ) -> None:
+        self.attempt = attempt
+        self.host = host
+        self.port = port
+        self.forwarded = forwarded
+        self.deadline_at = deadline_at
+        self.cut_ms = cut_ms
+        self.retried = retried
+
+
+class Guard(Step):
+    """Ask the guard of once-only calls whether the call may run."""
+
+    __slots__ = ()
+
+
+class Relay(Step):
+    """Give the caller the whole answer of the last attempt."""
+
+    __slots__ = ()
+
+
+class Respond(Step):
+    """Give the caller an answer of this node.
+
+    Attributes:
+        status: HTTP status.
+        reason: name of the reason.
+        not_run: whether the request surely did not run.
+        retry_after_s: seconds after which a new try makes sense; 0 if none.
+        outcome: how the attempt ended, for the node that chose this one.
+    """
+
+    __slots__ = ('status', 'reason', 'not_run', 'retry_after_s', 'outcome')
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        not_run: bool,
+        retry_after_s: int = 0,
+        outcome: str = OUTCOME_REFUSED,
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.not_run = not_run
+        self.retry_after_s = retry_after_s
+        self.outcome = outcome
+
+
+class Replay(Step):
+    """Give the caller the stored answer of an earlier run."""
+
+    __slots__ = ('status', 'content_type', 'body')
+
+    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+class Admission(messages.Message):
+    """What a gate says to an attempt; stays within the process."""
+
+    __slots__ = ()
+
+
+class Admitted(Admission):
+    """The attempt holds a slot; the upstream listens at `host`, `port`."""
+
+    __slots__ = ('host', 'port')
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+
+
+class Refused(Admission):
+    """The attempt did not run and will not."""
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class Queued(Admission):
+    """The attempt waits; `Admitted` or `Refused` follows as an answer."""
+
+    __slots__ = ()
+
+
+class GuardReply(records.Record):
+    """Base of what the guard of once-only calls says."""
+
+    __slots__ = ()
+
+
+class Granted(GuardReply):
+    """The call may reach an upstream until `expires_at`, clock ms."""
+
+    __slots__ = ('expires_at',)
+
+    def __init__(self, expires_at: int) -> None:
+        self.expires_at = expires_at
+
+
+class Replayed(GuardReply):
+    """The call ran before; this is its answer."""
+
+    __slots__ = ('status', 'content_type', 'body')
+
+    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+class Denied(GuardReply):
+    """The call does not run now; `not_run` if it never ran before."""
+
+    __slots__ = ('reason', 'not_run')
+
+    def __init__(self, reason: str, not_run: bool) -> None:
+        self.reason = reason
+        self.not_run = not_run
--- a/shallotwharf/core/dispatcher.py
+++ b/shallotwharf/core/dispatcher.py
@@ -124,6 +124,15 @@
                 self._queue_own(source, messages.StoreFailed(str(error)))
                 return
 
+    def run(
+        self,
+        source: aggregate.Aggregate,
+        step: list[effects.Effect],
+    ) -> None:
+        """Run effects of a direct call of `source` and what follows."""
+        self.execute(source, step)
+        self._drain()
+
     def _drain(self) -> None:
         if self._draining:
             return
--- /dev/null
+++ b/shallotwharf/roles/callpath.py
@@ -0,0 +1,256 @@
+"""Wiring of the path of a call: components, dispatcher and HTTP."""
+
+import types
+import typing
+from collections import abc
+
+from shallotwharf.adapters import exchange, outbound, waiting
+from shallotwharf.components.call import caller
+from shallotwharf.components.once import messages as once
+from shallotwharf.components.upstream import gate
+from shallotwharf.components.upstream import messages as upstream
+from shallotwharf.core import (
+    callports,
+    calls,
+    clock,
+    counters,
+    direct,
+    dispatcher,
+    messages,
+)
+
+
+class EffectRunner:
+    """Has the dispatcher run the effects of direct calls of an aggregate."""
+
+    __slots__ = ('_dispatcher', '_source')
+
+    def __init__(
+        self,
+        process_dispatcher: dispatcher.Dispatcher,
+        source: direct.DirectAggregate,
+    ) -> None:
+        self._dispatcher = process_dispatcher
+        self._source = source
+
+    def run(self) -> None:
+        """Run the effects that wait."""
+        if self._source.outbox:
+            self._dispatcher.run(self._source, self._source.take_effects())
+
+
+class WiredGate(callports.Gate):
+    """The gate, with its effects run after each call."""
+
+    __slots__ = ('_gate', '_runner')
+
+    def __init__(self, wired: gate.Gate, runner: EffectRunner) -> None:
+        self._gate = wired
+        self._runner = runner
+
+    def enter(
+        self,
+        step: calls.Enter,
+        request: calls.Request,
+        now: int,
+    ) -> calls.Admission:
+        """Admit, queue or refuse an attempt."""
+        admission = self._gate.enter(step, request, now)
+        self._runner.run()
+        return admission
+
+    def leave(self, attempt: str, result: calls.Result, now: int) -> None:
+        """Note that an attempt ended."""
+        self._gate.leave(attempt, result, now)
+        self._runner.run()
+
+
+class WiredPlan(callports.Plan):
+    """A plan, with the effects of its caller run after each call."""
+
+    __slots__ = ('_plan', '_runner')
+
+    def __init__(self, wired: callports.Plan, runner: EffectRunner) -> None:
+        self._plan = wired
+        self._runner = runner
+
+    def start(self, now: int) -> calls.Step:
+        """Return the first step."""
+        step = self._plan.start(now)
+        self._runner.run()
+        return step
+
+    def resume(self, result: calls.Result, now: int) -> calls.Step:
+        """Return the step that follows the end of an attempt."""
+        step = self._plan.resume(result, now)
+        self._runner.run()
+        return step
+
+    def apply_guard(self, reply: calls.GuardReply, now: int) -> calls.Step:
+        """Return the step that follows a reply of the guard."""
+        step = self._plan.apply_guard(reply, now)
+        self._runner.run()
+        return step
+
+    def cancel(self, now: int) -> bool:
+        """Note that the caller went away; return whether to stop."""
+        stops = self._plan.cancel(now)
+        self._runner.run()
+        return stops
+
+
+class WiredConductor(callports.Conductor):
+    """The caller, with its effects run after each call."""
+
+    __slots__ = ('_caller', '_runner')
+
+    def __init__(self, wired: caller.Caller, runner: EffectRunner) -> None:
+        self._caller = wired
+        self._runner = runner
+
+    def plan(self, request: calls.Request) -> callports.Plan:
+        """Return the plan of a request."""
+        return WiredPlan(self._caller.plan(request), self._runner)
+
+
+class DispatchedGuard(callports.OnceGuard):
+    """Asks the coordinator of once-only calls through the dispatcher."""
+
+    __slots__ = ('_dispatcher', '_waiting', '_clock', '_count')
+
+    def __init__(
+        self,
+        process_dispatcher: dispatcher.Dispatcher,
+        waiting_requests: waiting.WaitingRequests,
+        process_clock: clock.Clock,
+    ) -> None:
+        self._dispatcher = process_dispatcher
+        self._waiting = waiting_requests
+        self._clock = process_clock
+        self._count = 0
+
+    def begin(
+        self,
+        request: calls.Request,
+        receive: abc.Callable[[calls.GuardReply], None],
+    ) -> None:
+        """Ask whether a call may run."""
+        self._count += 1
+        waiting_id = f'once-{self._count}'
+        self._waiting.expect(
+            waiting_id,
+            lambda reply: receive(translate_reply(reply)),
+        )
+        self._dispatcher.deliver(
+            once.BeginCall(
+                waiting_id,
+                request.key,
+                request.compute_digest(),
+                self._clock.read_wall(),
+            ),
+            self._dispatcher.name,
+        )
+
+    def finish(
+        self,
+        request: calls.Request,
+        answer: calls.Replayed | None,
+        not_run: bool,
+    ) -> None:
+        """Report the end of a granted call."""
+        outcome = once.OUTCOME_NOT_RUN if not_run else once.OUTCOME_UNKNOWN
+        finished = once.CallFinished(request.key, outcome, 0, '', b'')
+        if answer is not None:
+            finished = once.CallFinished(
+                request.key,
+                once.OUTCOME_RUN,
+                answer.status,
+                answer.content_type,
+                answer.body,
+            )
+        self._dispatcher.deliver(finished, self._dispatcher.name)
+
+
+def translate_reply(reply: messages.Message) -> calls.GuardReply:
+    """Return what a reply of the coordinator means for a plan.
+
+    Raises:
+        KeyError: if it is not such a reply.
+    """
+    translated: calls.GuardReply = _REPLIES[type(reply)](reply)
+    return translated
+
+
+def _translate_granted(reply: once.CallGranted) -> calls.GuardReply:
+    return calls.Granted(reply.expires_at)
+
+
+def _translate_replayed(reply: once.CallReplayed) -> calls.GuardReply:
+    return calls.Replayed(reply.status, reply.content_type, reply.body)
+
+
+def _translate_refused(reply: once.CallRefused) -> calls.GuardReply:
+    return calls.Denied(
+        reply.reason,
+        reply.outcome == once.OUTCOME_NOT_RUN,
+    )
+
+
+_REPLIES: typing.Final[typing.Any] = types.MappingProxyType(
+    {
+        once.CallGranted: _translate_granted,
+        once.CallReplayed: _translate_replayed,
+        once.CallRefused: _translate_refused,
+    }
+)
+
+
+class DispatchedRegistry(callports.UpstreamRegistry):
+    """Delivers what the upstream says to the gate."""
+
+    __slots__ = ('_dispatcher',)
+
+    def __init__(self, process_dispatcher: dispatcher.Dispatcher) -> None:
+        self._dispatcher = process_dispatcher
+
+    def announce(self, described: callports.UpstreamDescription) -> None:
+        """Note that the upstream serves."""
+        self._deliver(upstream.UpstreamStarted(*described.read_fields()))
+
+    def drain(self) -> None:
+        """Note that the upstream takes no new work."""
+        self._deliver(upstream.DrainRequested())
+
+    def remove(self) -> None:
+        """Note that the upstream is gone."""
+        self._deliver(upstream.UpstreamLeft())
+
+    def _deliver(self, message: messages.Message) -> None:
+        self._dispatcher.deliver(message, self._dispatcher.name)
+
+
+def build_services(
+    process_dispatcher: dispatcher.Dispatcher,
+    node_caller: caller.Caller,
+    node_gate: gate.Gate,
+    waiting_requests: waiting.WaitingRequests,
+    process_clock: clock.Clock,
+    process_counters: counters.Counters,
+) -> exchange.Services:
+    """Return what the server for calls needs; call it on the loop.
+
+    `waiting_requests` must be the dispatcher's `requests`, and the caller
+    and the gate must be started by the dispatcher.
+    """
+    return exchange.Services(
+        process_clock,
+        WiredConductor(
+            node_caller,
+            EffectRunner(process_dispatcher, node_caller),
+        ),
+        WiredGate(node_gate, EffectRunner(process_dispatcher, node_gate)),
+        DispatchedGuard(process_dispatcher, waiting_requests, process_clock),
+        waiting_requests,
+        outbound.Outbound(process_counters),
+        process_counters,
+    )
--- /dev/null
+++ b/tests/callnodes.py
@@ -0,0 +1,191 @@
+"""Nodes with their call path on one loop, for tests over loopback."""
+
+import asyncio
+import random
+import socket
+
+from tornado import httpserver, web
+
+from shallotwharf.adapters import inbound, timers, upstreams, waiting
+from shallotwharf.components.call import caller
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.tables import messages as tables
+from shallotwharf.components.tables import pool, route, version
+from shallotwharf.components.upstream import gate, settings
+from shallotwharf.core import (
+    aggregate,
+    callports,
+    clock,
+    counters,
+    dispatcher,
+    ports,
+)
+from shallotwharf.roles import callpath, sample
+
+HOST = '127.0.0.1'
+TABLES = version.Tables(
+    (
+        route.Route(
+            'status',
+            '/',
+            ('GET', 'HEAD', 'PUT'),
+            'orders',
+            timeout_ms=2000,
+            retries=2,
+        ),
+        route.Route(
+            'cut', '/cut', ('POST',), 'orders', idempotent=False, retries=2
+        ),
+        route.Route(
+            'book',
+            '/book',
+            ('POST',),
+            'orders',
+            idempotent=False,
+            once_only=True,
+        ),
+    ),
+    (pool.Pool('orders', 'orders', {'v1': 100}),),
+)
+
+
+class NoLinks(ports.Links):
+    def send(self, peer, message):
+        return False
+
+
+class Mesh(aggregate.Aggregate):
+    """Stands in for the membership: tells all nodes of each announcement."""
+
+    name = 'mesh'
+    handlers = {membership.Announce: 'apply'}
+
+    def __init__(self):
+        self.known = {}
+        self.nodes = []
+
+    def start(self, now):
+        return []
+
+    def apply(self, message, sender, now):
+        self.known[message.announcement.node.name] = message.announcement
+        for node in self.nodes:
+            node.loop.call_soon(node.take_announcements)
+        return []
+
+
+class Observations(callports.Observer):
+    def __init__(self):
+        self.seen = []
+
+    def observe(self, observation, now):
+        self.seen.append(observation)
+
+
+def find_port():
+    with socket.socket() as opened:
+        opened.bind((HOST, 0))
+        return opened.getsockname()[1]
+
+
+class Node:
+    def __init__(self, name, mesh, limits=None, aggregates=()):
+        self.loop = asyncio.get_running_loop()
+        self.mesh = mesh
+        self.clock = clock.SystemClock()
+        self.counters = counters.Counters()
+        self.observed = Observations()
+        self.port = find_port()
+        loop_timers = timers.LoopTimers(self.clock)
+        requests = waiting.WaitingRequests()
+        self.dispatcher = dispatcher.Dispatcher(
+            name,
+            self.clock,
+            NoLinks(),
+            None,
+            loop_timers,
+            requests,
+            self.counters,
+        )
+        loop_timers.connect(self.dispatcher.fire_timer)
+        member = membership.Member(name, 'dc1', 'r1', HOST, 0, self.port)
+        self.caller = caller.Caller(
+            member, name, random.Random(1), self.observed
+        )
+        self.gate = gate.Gate(
+            member,
+            limits or settings.GateSettings(),
+            callports.EmptyPoisonList(),
+            0,
+        )
+        self.dispatcher.start(self.caller, self.gate, mesh, *aggregates)
+        self.services = callpath.build_services(
+            self.dispatcher,
+            self.caller,
+            self.gate,
+            requests,
+            self.clock,
+            self.counters,
+        )
+        self.server = inbound.CallServer(self.services, max_body_bytes=100_000)
+        self.server.listen_at(HOST, self.port)
+        rules = upstreams.build_rules(
+            callpath.DispatchedRegistry(self.dispatcher)
+        )
+        self.admin = httpserver.HTTPServer(web.Application(rules))
+        self.admin_port = find_port()
+        self.admin.listen(self.admin_port, HOST)
+        mesh.nodes.append(self)
+        self.apply(version.Version(1, TABLES))
+
+    def apply(self, applied):
+        self.dispatcher.deliver(tables.VersionApplied(applied), 'test')
+
+    def take_announcements(self):
+        self.dispatcher.deliver(
+            membership.AnnouncementsChanged(tuple(self.mesh.known.values())),
+            'test',
+        )
+
+    def announce(self, port, slots=4, warmup_ms=0, instance='', **changes):
+        """Announce an upstream without its own HTTP request."""
+        callpath.DispatchedRegistry(self.dispatcher).announce(
+            callports.UpstreamDescription(
+                changes.get('service', 'orders'),
+                changes.get('version', 'v1'),
+                HOST,
+                port,
+                slots,
+                warmup_ms,
+                instance,
+            )
+        )
+
+    async def async_start_sample(self, **changes):
+        chosen = sample.SampleSettings(
+            'orders', 'v1', HOST, 0, f'{HOST}:{self.admin_port}'
+        ).replace(**changes)
+        upstream = sample.SampleUpstream(chosen)
+        await upstream.async_start()
+        return upstream
+
+    async def async_close(self):
+        await self.server.async_close(1)
+        self.services.outbound.close()
+        self.admin.stop()
+        await self.admin.close_all_connections()
+
+
+async def async_fetch(port, text):
+    """Send raw bytes; return all that arrives until the other side closes."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(text)
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return answer
+
+
+def build_get(path='/', *lines):
+    """Return a request after which the connection closes."""
+    head = [f'GET {path} HTTP/1.1', 'Host: x', 'Connection: close', *lines]
+    return '\r\n'.join([*head, '', '']).encode()
