Add membership of one data centre

Cause: nodes have to know the live members of their data centre and the announcements of upstreams without a list of either.

Change: the aggregate `Membership` probes members after SWIM with local health, gossips member states, announcements, spare slots and spread messages on probes, pushes urgent entries at once, and repairs what gossip missed by comparing digests. Entries are registers in which the newest wins, so the order of arrival does not matter. `AnnouncementsChanged` names data centres that were not heard of for long.

--- /dev/null
+++ b/shallotwharf/components/membership/alarms.py
@@ -0,0 +1,27 @@
+"""Timers of an aggregate that know how late they fire."""
+
+from shallotwharf.core import effects
+
+
+class Alarms:
+    """Due times of the timers of one aggregate by name."""
+
+    __slots__ = ('_due',)
+
+    def __init__(self) -> None:
+        self._due: dict[str, int] = {}
+
+    def set_timer(self, name: str, at: int) -> effects.Effect:
+        """Return the effect that sets or moves a timer."""
+        self._due[name] = at
+        return effects.SetTimer(name, at)
+
+    def hasten(self, name: str, at: int) -> list[effects.Effect]:
+        """Return the effect that sets a timer unless it is due before."""
+        if self._due.get(name, at + 1) <= at:
+            return []
+        return [self.set_timer(name, at)]
+
+    def fire(self, name: str, now: int) -> int:
+        """Note that a timer fired; return how late it is, in ms."""
+        return now - self._due.pop(name, now)
--- /dev/null
+++ b/shallotwharf/components/membership/entries.py
@@ -0,0 +1,220 @@
+"""Merging of received and own entries, with all that follows from news."""
+
+import random
+import typing
+
+from shallotwharf.components.membership import (
+    alarms,
+    const,
+    gossip,
+    knowledge,
+    messages,
+    own,
+    suspicions,
+    wire,
+)
+from shallotwharf.core import effects
+
+Effects: typing.TypeAlias = list[effects.Effect]
+
+
+class Entries:
+    """The knowledge of a node and what still has to be told about it.
+
+    Attributes:
+        known: the registers.
+        own: the entries that only this node writes.
+        alarms: timers of the aggregate.
+        suspicions: members that may be declared dead.
+        live: live members of the own data centre, by name.
+        others: names of the live members but the own one.
+        factor: factor on the time that a suspected member gets.
+    """
+
+    __slots__ = (
+        'known',
+        'own',
+        'alarms',
+        'suspicions',
+        'live',
+        'others',
+        'factor',
+        '_gossip',
+        '_random',
+        '_pushed_at',
+        '_published_at',
+        '_published',
+    )
+
+    def __init__(
+        self,
+        own_entries: own.OwnEntries,
+        source: random.Random,
+    ) -> None:
+        self.known = knowledge.Knowledge()
+        self.own = own_entries
+        self.alarms = alarms.Alarms()
+        self.suspicions = suspicions.Suspicions()
+        self.live: tuple[messages.Member, ...] = ()
+        self.others: tuple[str, ...] = ()
+        self.factor = 1
+        self._gossip = gossip.Gossip(self.known)
+        self._random = source
+        self._pushed_at: int | None = None
+        self._published_at: int | None = None
+        self._published = messages.AnnouncementsChanged(())
+
+    def merge(self, batch: wire.Batch, now: int) -> Effects:
+        """Apply entries and return what follows from those that are news."""
+        before = {
+            state.member.name: self.known.states.get(state.member.name)
+            for state in batch.states
+        }
+        changed = self.known.merge(batch, now)
+        if not changed:
+            return []
+        step: Effects = []
+        kinds = {kind for kind, _ in changed}
+        if const.KIND_STATE in kinds:
+            self._watch_suspects(changed, now)
+            changed.extend(self._refute(now))
+            step.extend(self._set_suspicion_timer(now))
+            step.extend(self._find_peers(before))
+            step.extend(self._publish_members())
+        step.extend(self._publish_spreads(changed, now))
+        for key in changed:
+            self._gossip.add(key, len(self.live))
+        step.extend(self._schedule(changed, now))
+        return step
+
+    def enter_own_state(self, now: int) -> Effects:
+        """Apply the own state as a new entry."""
+        return self.merge(wire.Batch(states=(self.own.state,)), now)
+
+    def take_gossip(self, now: int) -> wire.Batch:
+        """Return entries to piggyback on a message."""
+        return self._gossip.take(now)
+
+    def pick_others(self, count: int, but: str = '') -> list[str]:
+        """Return up to `count` random live members other than `but`."""
+        candidates = [name for name in self.others if name != but]
+        return self._random.sample(candidates, min(count, len(candidates)))
+
+    def push(self, now: int) -> Effects:
+        """Send urgent entries to random members."""
+        self._pushed_at = now
+        batch = self._gossip.take(now, urgent_only=True)
+        if batch == wire.Batch():
+            return []
+        step: Effects = [
+            effects.Send(peer, wire.Push(batch))
+            for peer in self.pick_others(const.PUSH_FANOUT)
+        ]
+        if self._gossip.has_fresh():
+            at = now + const.PUSH_PERIOD_MS
+            step.extend(self.alarms.hasten('push', at))
+        return step
+
+    def publish(self, now: int) -> Effects:
+        """Publish the announcements if they or their age changed."""
+        self._published_at = now
+        current = messages.AnnouncementsChanged(
+            self.known.list_announcements(),
+            self.known.list_stale(self.own.state.member.datacentre, now),
+        )
+        if current == self._published:
+            return []
+        self._published = current
+        return [effects.Publish(current)]
+
+    def end_suspicions(self, now: int, late_ms: int) -> Effects:
+        """Declare dead who did not refute the suspicion in time."""
+        if late_ms > const.LATE_TIMER_MS:
+            # Refutations may wait behind this timer in the queue.
+            self.suspicions.postpone(late_ms)
+        dead = tuple(
+            self.known.states[name].replace(status=const.STATUS_DEAD)
+            for name in self.suspicions.take_due(now)
+        )
+        return [
+            *self.merge(wire.Batch(states=dead), now),
+            *self._set_suspicion_timer(now),
+            effects.Count('membership.declared_dead', len(dead)),
+        ]
+
+    def _refute(self, now: int) -> list[knowledge.Key]:
+        name = self.own.state.member.name
+        claimed = self.known.states.get(name)
+        if claimed is None or not self.own.refute(claimed):
+            return []
+        self.known.apply_state(self.own.state, now)
+        return [(const.KIND_STATE, name)]
+
+    def _watch_suspects(self, changed: list[knowledge.Key], now: int) -> None:
+        deadline = now + const.SUSPICION_MS * self.factor
+        datacentre = self.own.state.member.datacentre
+        for kind, name in changed:
+            state = self.known.states.get(name)
+            if kind != const.KIND_STATE or state is None:
+                continue
+            if state.status != const.STATUS_SUSPECT:
+                self.suspicions.end(name)
+            elif state.member.datacentre == datacentre:
+                self.suspicions.begin(name, deadline)
+
+    def _set_suspicion_timer(self, now: int) -> Effects:
+        at = self.suspicions.find_next()
+        if at is None:
+            return []
+        return self.alarms.hasten('suspicion', max(at, now))
+
+    def _find_peers(
+        self,
+        before: dict[str, wire.MemberState | None],
+    ) -> Effects:
+        found = tuple(
+            self.known.states[name].member
+            for name, state in before.items()
+            if state is None or state.member != self.known.states[name].member
+        )
+        if not found:
+            return []
+        return [effects.Publish(messages.PeersFound(found))]
+
+    def _publish_members(self) -> Effects:
+        own_member = self.own.state.member
+        live = self.known.list_live(own_member.datacentre)
+        if live == self.live:
+            return []
+        self.live = live
+        self.others = tuple(
+            member.name for member in live if member.name != own_member.name
+        )
+        return [effects.Publish(messages.MembersChanged(live))]
+
+    def _publish_spreads(
+        self,
+        changed: list[knowledge.Key],
+        now: int,
+    ) -> Effects:
+        step: Effects = []
+        for kind, name in changed:
+            if kind == const.KIND_SPREAD:
+                spread = self.known.spreads.read(name, now)
+                if spread is not None:
+                    step.append(effects.Publish(spread.message))
+        return step
+
+    def _schedule(self, changed: list[knowledge.Key], now: int) -> Effects:
+        publish_at = now + const.PUBLISH_PERIOD_MS
+        step: Effects = []
+        if any(gossip.is_urgent(key) for key in changed):
+            push_at = now + const.PUSH_DELAY_MS
+            if self._pushed_at is not None:
+                push_at = max(push_at, self._pushed_at + const.PUSH_PERIOD_MS)
+            publish_at = now
+            if self._published_at is not None:
+                publish_at = max(now, self._published_at + const.MERGE_MS)
+            step.extend(self.alarms.hasten('push', push_at))
+        step.extend(self.alarms.hasten('publish', publish_at))
+        return step
--- /dev/null
+++ b/shallotwharf/components/membership/gossip.py
@@ -0,0 +1,116 @@
+"""Queue of entries that still have to be passed on."""
+
+import math
+import typing
+from collections import abc
+
+from shallotwharf.components.membership import (
+    const,
+    knowledge,
+    messages,
+    sizes,
+    wire,
+)
+from shallotwharf.core import records
+
+Kind = typing.TypeVar('Kind', bound=records.Record)
+
+
+class _Queued:
+    __slots__ = ('total', 'left', 'urgent')
+
+    def __init__(self, total: int, urgent: bool) -> None:
+        self.total = total
+        self.left = total
+        self.urgent = urgent
+
+
+class Gossip:
+    """Keys of news with the transmissions left.
+
+    A key queued again starts anew; the entry is read when it is sent, so that
+    only the newest one travels.
+    """
+
+    __slots__ = ('_known', '_queue')
+
+    def __init__(self, known: knowledge.Knowledge) -> None:
+        self._known = known
+        self._queue: dict[knowledge.Key, _Queued] = {}
+
+    def add(self, key: knowledge.Key, members: int) -> None:
+        """Queue an entry for a group of that many members."""
+        urgent = is_urgent(key)
+        left = const.LOAD_TRANSMISSIONS
+        if urgent:
+            left = const.GOSSIP_FACTOR * math.ceil(math.log2(members + 2))
+        self._queue[key] = _Queued(left, urgent)
+
+    def take(self, now: int, urgent_only: bool = False) -> wire.Batch:
+        """Return the entries that are due most, up to `GOSSIP_BYTES`.
+
+        One entry that is larger on its own travels alone.
+        """
+        room = const.GOSSIP_BYTES
+        taken: list[records.Record] = []
+        for key in self._rank(urgent_only):
+            entry = self._known.read_entry(key, now)
+            size = sizes.estimate_bytes(entry)
+            if entry is None:
+                self._queue.pop(key)
+            elif size <= room or not taken:
+                taken.append(entry)
+                self._use(key)
+                room -= size
+            if room <= 0:
+                break
+        return build_batch(taken)
+
+    def has_fresh(self) -> bool:
+        """Return whether an urgent entry was not sent yet."""
+        return any(
+            queued.urgent and queued.left == queued.total
+            for queued in self._queue.values()
+        )
+
+    def _rank(self, urgent_only: bool) -> list[knowledge.Key]:
+        keys = [
+            key
+            for key, queued in self._queue.items()
+            if queued.urgent or not urgent_only
+        ]
+        return sorted(
+            keys,
+            key=lambda key: (self._queue[key].urgent, self._queue[key].left),
+            reverse=True,
+        )
+
+    def _use(self, key: knowledge.Key) -> None:
+        queued = self._queue[key]
+        queued.left -= 1
+        if queued.left <= 0:
+            self._queue.pop(key)
+
+
+def is_urgent(key: knowledge.Key) -> bool:
+    """Return whether an entry is pushed at once."""
+    return key[0] not in {const.KIND_LOAD, const.KIND_BEAT}
+
+
+def build_batch(entries: abc.Iterable[records.Record]) -> wire.Batch:
+    """Return entries of any kind as a batch."""
+    listed = tuple(entries)
+    return wire.Batch(
+        _select(listed, wire.MemberState),
+        _select(listed, messages.Announcement),
+        _select(listed, wire.Load),
+        _select(listed, wire.SpreadItem),
+        _select(listed, wire.Beat),
+    )
+
+
+def _select(
+    entries: tuple[records.Record, ...],
+    kind: type[Kind],
+) -> tuple[Kind, ...]:
+    return tuple(entry for entry in entries if isinstance(entry, kind))
--- /dev/null
+++ b/shallotwharf/components/membership/knowledge.py
@@ -0,0 +1,268 @@
+"""What a node knows: registers in which the newest entry wins.
+
+Entries may arrive in any order and more than once; all nodes that received
+the same entries hold the same state.
+"""
+
+import typing
+import zlib
+from collections import abc
+
+from shallotwharf.components.membership import const, messages, spreads, wire
+from shallotwharf.core import records
+
+Key: typing.TypeAlias = tuple[str, str]
+
+
+class Knowledge:
+    """Members, announcements and loads of all data centres, by node name."""
+
+    __slots__ = (
+        'states',
+        'spreads',
+        '_announcements',
+        '_loads',
+        '_merged',
+        '_beats',
+        '_ended',
+    )
+
+    def __init__(self) -> None:
+        self.states: dict[str, wire.MemberState] = {}
+        self.spreads = spreads.Spreads()
+        self._announcements: dict[str, messages.Announcement] = {}
+        self._loads: dict[str, wire.Load] = {}
+        # Announcements with the latest load, so that a list is cheap.
+        self._merged: dict[str, messages.Announcement] = {}
+        # Number of the last beat of a data centre, and when it came.
+        self._beats: dict[str, tuple[int, int]] = {}
+        # When a member was first known as dead or departed.
+        self._ended: dict[str, int] = {}
+
+    def merge(self, batch: wire.Batch, now: int) -> list[Key]:
+        """Apply entries; return the keys of those that were news."""
+        return [
+            *self._merge_members(batch, now),
+            *(
+                (const.KIND_LOAD, load.node)
+                for load in batch.loads
+                if self.apply_load(load)
+            ),
+            *(
+                (const.KIND_SPREAD, spread.key)
+                for spread in batch.spreads
+                if self.spreads.accept(spread, now)
+            ),
+            *(
+                (const.KIND_BEAT, beat.datacentre)
+                for beat in batch.beats
+                if self.apply_beat(beat, now)
+            ),
+        ]
+
+    def apply_state(self, state: wire.MemberState, now: int) -> bool:
+        """Keep a state if it is newer; return whether it was."""
+        name = state.member.name
+        known = self.states.get(name)
+        if known is not None and not state.is_newer(known):
+            return False
+        self.states[name] = state
+        if state.is_live():
+            self._ended.pop(name, None)
+        else:
+            self._ended.setdefault(name, now)
+        return True
+
+    def apply_announcement(self, announcement: messages.Announcement) -> bool:
+        """Keep an announcement if it is newer; return whether it was."""
+        known = self._announcements.get(announcement.node.name)
+        if known is not None and known.generation >= announcement.generation:
+            return False
+        self._announcements[announcement.node.name] = announcement
+        self._add_load(announcement.node.name)
+        return True
+
+    def apply_load(self, load: wire.Load) -> bool:
+        """Keep a load if it is newer; return whether it was."""
+        known = self._loads.get(load.node)
+        if known is not None and known.number >= load.number:
+            return False
+        self._loads[load.node] = load
+        self._add_load(load.node)
+        return True
+
+    def apply_beat(self, beat: wire.Beat, now: int) -> bool:
+        """Note a beat if its number is higher; return whether it was."""
+        number, _ = self._beats.get(beat.datacentre, (0, 0))
+        if beat.number <= number:
+            return False
+        self._beats[beat.datacentre] = (beat.number, now)
+        return True
+
+    def read_entry(self, key: Key, now: int) -> records.Record | None:
+        """Return the entry of a key as it is sent to peers."""
+        kind, name = key
+        if kind == const.KIND_SPREAD:
+            return self.spreads.read(name, now)
+        if kind == const.KIND_BEAT:
+            return wire.Beat(name, self._beats[name][0])
+        registers: dict[str, abc.Mapping[str, records.Record]] = {
+            const.KIND_STATE: self.states,
+            const.KIND_ANNOUNCEMENT: self._announcements,
+            const.KIND_LOAD: self._loads,
+        }
+        return registers[kind].get(name)
+
+    def read_announcement(self, name: str) -> messages.Announcement | None:
+        """Return the announcement of a node as it was announced."""
+        return self._announcements.get(name)
+
+    def read_load(self, name: str) -> wire.Load | None:
+        """Return the latest load of a node."""
+        return self._loads.get(name)
+
+    def read_beat(self, datacentre: str) -> tuple[int, int]:
+        """Return the number of the last beat and when it came; 0 if none."""
+        return self._beats.get(datacentre, (0, 0))
+
+    def list_live(self, datacentre: str) -> tuple[messages.Member, ...]:
+        """Return the live members of a data centre by name."""
+        live = [
+            state.member
+            for state in self.states.values()
+            if state.is_live() and state.member.datacentre == datacentre
+        ]
+        return tuple(sorted(live, key=_read_name))
+
+    def list_ended(self, datacentre: str) -> list[str]:
+        """Return names of the dead, not the departed, of a data centre."""
+        return [
+            name
+            for name in self._ended
+            if self.states[name].status == const.STATUS_DEAD
+            and self.states[name].member.datacentre == datacentre
+        ]
+
+    def list_announcements(self) -> tuple[messages.Announcement, ...]:
+        """Return announcements of live nodes with their latest load."""
+        return tuple(
+            announcement
+            for name, announcement in sorted(self._merged.items())
+            if self._is_shown(name, announcement)
+        )
+
+    def list_stale(self, own: str, now: int) -> tuple[str, ...]:
+        """Return other data centres that were not heard of for long."""
+        seen = {state.member.datacentre for state in self.states.values()}
+        return tuple(
+            datacentre
+            for datacentre in sorted(seen - {own})
+            if now - self.read_beat(datacentre)[1] > const.STALE_MS
+        )
+
+    def forget(self, now: int) -> None:
+        """Drop what ended too long ago to return in a late message."""
+        self.spreads.forget(now)
+        for name, ended_at in list(self._ended.items()):
+            if now - ended_at > const.TOMBSTONE_MS:
+                self._ended.pop(name)
+                self.states.pop(name)
+                self._announcements.pop(name, None)
+                self._merged.pop(name, None)
+                self._loads.pop(name, None)
+
+    def compute_digests(self) -> abc.Mapping[str, int]:
+        """Return a digest of the live entries of each data centre.
+
+        Spare slots and suspicions are left out, since they change often.
+        """
+        digests: dict[str, int] = {}
+        for name, state in self.states.items():
+            if state.is_live():
+                announcement = self._announcements.get(name)
+                generation = announcement.generation if announcement else 0
+                line = f'{name} {state.run} {generation}'.encode()
+                datacentre = state.member.datacentre
+                digests[datacentre] = digests.get(datacentre, 0) ^ zlib.crc32(
+                    line,
+                )
+        digests[''] = self.spreads.compute_digest()
+        return digests
+
+    def export(
+        self,
+        datacentres: abc.Container[str],
+        now: int,
+    ) -> list[wire.Batch]:
+        """Return the entries of data centres in batches of bounded size."""
+        names = [
+            name
+            for name, state in self.states.items()
+            if state.member.datacentre in datacentres
+        ]
+        batches = [
+            self._export_members(names[start : start + const.SNAPSHOT_MEMBERS])
+            for start in range(0, len(names), const.SNAPSHOT_MEMBERS)
+        ]
+        if '' in datacentres:
+            batches.append(wire.Batch(spreads=self.spreads.read_all(now)))
+        return batches
+
+    def _merge_members(self, batch: wire.Batch, now: int) -> list[Key]:
+        return [
+            *(
+                (const.KIND_STATE, state.member.name)
+                for state in batch.states
+                if self.apply_state(state, now)
+            ),
+            *(
+                (const.KIND_ANNOUNCEMENT, announcement.node.name)
+                for announcement in batch.announcements
+                if self.apply_announcement(announcement)
+            ),
+        ]
+
+    def _export_members(self, names: list[str]) -> wire.Batch:
+        return wire.Batch(
+            states=tuple(self.states[name] for name in names),
+            announcements=_pick(self._announcements, names),
+            loads=_pick(self._loads, names),
+        )
+
+    def _is_shown(
+        self,
+        name: str,
+        announcement: messages.Announcement,
+    ) -> bool:
+        # An announcement of an earlier run does not describe the upstream
+        # that the node found when it restarted.
+        state = self.states.get(name)
+        return (
+            state is not None
+            and state.is_live()
+            and announcement.generation >= state.run
+            and announcement.state != messages.UPSTREAM_GONE
+        )
+
+    def _add_load(self, name: str) -> None:
+        announcement = self._announcements.get(name)
+        load = self._loads.get(name)
+        if announcement is None:
+            return
+        if load is not None and load.spare != announcement.spare:
+            announcement = announcement.replace(spare=load.spare)
+        self._merged[name] = announcement
+
+
+Entry = typing.TypeVar('Entry')
+
+
+def _pick(
+    register: abc.Mapping[str, Entry],
+    names: list[str],
+) -> tuple[Entry, ...]:
+    return tuple(register[name] for name in names if name in register)
+
+
+def _read_name(member: messages.Member) -> str:
+    return member.name
--- a/shallotwharf/components/membership/messages.py
+++ b/shallotwharf/components/membership/messages.py
@@ -107,12 +107,23 @@
 
 @messages.register('membership.announcements_changed')
 class AnnouncementsChanged(messages.Message):
-    """All announcements known, of this and other data centres."""
+    """All announcements known, of this and other data centres.
 
-    __slots__ = ('announcements',)
+    Attributes:
+        announcements: one for each live node, ordered by the node's name.
+        stale_datacentres: data centres that were not heard of for
+            `const.STALE_MS`; their announcements are a last choice.
+    """
 
-    def __init__(self, announcements: tuple[Announcement, ...]) -> None:
+    __slots__ = ('announcements', 'stale_datacentres')
+
+    def __init__(
+        self,
+        announcements: tuple[Announcement, ...],
+        stale_datacentres: tuple[str, ...] = (),
+    ) -> None:
         self.announcements = announcements
+        self.stale_datacentres = stale_datacentres
 
 
 @messages.register('membership.announce')
@@ -152,3 +163,20 @@
         self.scope = scope
         self.message = message
         self.lifetime_ms = lifetime_ms
+
+
+@messages.register('membership.leave')
+class Leave(messages.Message):
+    """The own process is about to stop; the other members are told."""
+
+    __slots__ = ()
+
+
+@messages.register('membership.peers_found')
+class PeersFound(messages.Message):
+    """Addresses of members that are new or have moved."""
+
+    __slots__ = ('members',)
+
+    def __init__(self, members: tuple[Member, ...]) -> None:
+        self.members = members
--- /dev/null
+++ b/shallotwharf/components/membership/own.py
@@ -0,0 +1,66 @@
+"""The entries of which the own node is the only author."""
+
+from shallotwharf.components.membership import const, messages, wire
+
+
+class OwnEntries:
+    """State, announcement and load of the own node.
+
+    Numbers begin at the start of the process, `run` in milliseconds since the
+    epoch, so that those of a restarted process are higher.
+    """
+
+    __slots__ = ('state', '_generation', '_number', '_load_at', '_pending')
+
+    def __init__(self, member: messages.Member, run: int) -> None:
+        self.state = wire.MemberState(member, run, 0, const.STATUS_ALIVE)
+        self._generation = run
+        self._number = run // 1000
+        self._load_at: int | None = None
+        self._pending: messages.Announcement | None = None
+
+    def refute(self, claimed: wire.MemberState) -> bool:
+        """Overtake a state that others claim; return whether that is needed.
+
+        A higher run comes from an earlier process whose clock was ahead.
+        """
+        own = self.state
+        if own.status == const.STATUS_LEFT or not claimed.is_newer(own):
+            return False
+        run, incarnation = own.run, claimed.incarnation + 1
+        if claimed.run > own.run:
+            run, incarnation = claimed.run + 1, 0
+        self.state = own.replace(run=run, incarnation=incarnation)
+        self._generation = max(self._generation, run)
+        return True
+
+    def leave(self) -> None:
+        """Set the own state to departed."""
+        self.state = self.state.replace(
+            status=const.STATUS_LEFT,
+            incarnation=self.state.incarnation + 1,
+        )
+
+    def announce(
+        self,
+        announcement: messages.Announcement,
+        newest: int,
+    ) -> messages.Announcement:
+        """Return the announcement with a generation above all before.
+
+        `newest` is the highest generation of the node that is known here.
+        """
+        self._generation = max(self._generation, newest) + 1
+        return announcement.replace(generation=self._generation)
+
+    def build_load(self, spare: int, newest: int, now: int) -> wire.Load:
+        """Return the load with a number above all before."""
+        self._number = max(self._number, newest) + 1
+        self._load_at = now
+        return wire.Load(self.state.member.name, self._number, spare)
+
+    def find_load_time(self, now: int) -> int:
+        """Return when the next change of load alone may be spread."""
+        if self._load_at is None:
+            return now
+        return max(now, self._load_at + const.LOAD_PERIOD_MS)
--- /dev/null
+++ b/shallotwharf/components/membership/wire.py
@@ -0,0 +1,182 @@
+"""Messages of the membership between processes."""
+
+from collections import abc
+
+from shallotwharf.components.membership import const
+from shallotwharf.components.membership import messages as events
+from shallotwharf.core import messages, records
+
+
+class MemberState(records.Record):
+    """What is known about a member.
+
+    Attributes:
+        member: the member.
+        run: start of its process, in milliseconds since the epoch.
+        incarnation: raised by the member to refute a suspicion.
+        status: one of the `STATUS_` numbers.
+    """
+
+    __slots__ = ('member', 'run', 'incarnation', 'status')
+
+    def __init__(
+        self,
+        member: events.Member,
+        run: int,
+        incarnation: int,
+        status: int,
+    ) -> None:
+        self.member = member
+        self.run = run
+        self.incarnation = incarnation
+        self.status = status
+
+    def is_live(self) -> bool:
+        """Return whether the member is alive or only suspected."""
+        return self.status < const.STATUS_DEAD
+
+    def is_newer(self, other: 'MemberState') -> bool:
+        """Return whether this state replaces the other one."""
+        return (self.run, self.incarnation, self.status) > (
+            other.run,
+            other.incarnation,
+            other.status,
+        )
+
+
+class Load(records.Record):
+    """Spare slots of a node's upstream; the higher number is newer."""
+
+    __slots__ = ('node', 'number', 'spare')
+
+    def __init__(self, node: str, number: int, spare: int) -> None:
+        self.node = node
+        self.number = number
+        self.spare = spare
+
+
+class SpreadItem(records.Record):
+    """A message of `Spread` with the lifetime that remains."""
+
+    __slots__ = ('key', 'scope', 'message', 'remaining_ms')
+
+    def __init__(
+        self,
+        key: str,
+        scope: str,
+        message: messages.Message,
+        remaining_ms: int,
+    ) -> None:
+        self.key = key
+        self.scope = scope
+        self.message = message
+        self.remaining_ms = remaining_ms
+
+
+class Beat(records.Record):
+    """Another data centre was heard of; a higher number is later."""
+
+    __slots__ = ('datacentre', 'number')
+
+    def __init__(self, datacentre: str, number: int) -> None:
+        self.datacentre = datacentre
+        self.number = number
+
+
+class Batch(records.Record):
+    """Entries that travel together."""
+
+    __slots__ = ('states', 'announcements', 'loads', 'spreads', 'beats')
+
+    def __init__(
+        self,
+        states: tuple[MemberState, ...] = (),
+        announcements: tuple[events.Announcement, ...] = (),
+        loads: tuple[Load, ...] = (),
+        spreads: tuple[SpreadItem, ...] = (),
+        beats: tuple[Beat, ...] = (),
+    ) -> None:
+        self.states = states
+        self.announcements = announcements
+        self.loads = loads
+        self.spreads = spreads
+        self.beats = beats
+
+
+@messages.register('membership.ping')
+class Ping(messages.Message):
+    """Asks for an `Ack` with the same number."""
+
+    __slots__ = ('number', 'batch')
+
+    def __init__(self, number: int, batch: Batch) -> None:
+        self.number = number
+        self.batch = batch
+
+
+@messages.register('membership.ack')
+class Ack(messages.Message):
+    """The probed member answered, directly or through the sender."""
+
+    __slots__ = ('number', 'batch')
+
+    def __init__(self, number: int, batch: Batch) -> None:
+        self.number = number
+        self.batch = batch
+
+
+@messages.register('membership.ping_request')
+class PingRequest(messages.Message):
+    """Asks to probe `target` and to pass on its `Ack`."""
+
+    __slots__ = ('number', 'target')
+
+    def __init__(self, number: int, target: str) -> None:
+        self.number = number
+        self.target = target
+
+
+@messages.register('membership.push')
+class Push(messages.Message):
+    """Urgent entries, sent without waiting for the next probe."""
+
+    __slots__ = ('batch',)
+
+    def __init__(self, batch: Batch) -> None:
+        self.batch = batch
+
+
+@messages.register('membership.sync')
+class Sync(messages.Message):
+    """Asks for what differs; a node that starts sends no digests.
+
+    Attributes:
+        state: the sender.
+        digests: digest of the entries of each data centre that it knows.
+    """
+
+    __slots__ = ('state', 'digests')
+
+    def __init__(
+        self,
+        state: MemberState,
+        digests: abc.Mapping[str, int],
+    ) -> None:
+        self.state = state
+        self.digests = digests
+
+
+@messages.register('membership.snapshot')
+class Snapshot(messages.Message):
+    """Entries of data centres whose digests differed.
+
+    Attributes:
+        batch: a part of the entries.
+        wanted: data centres whose entries the sender asks for in return.
+    """
+
+    __slots__ = ('batch', 'wanted')
+
+    def __init__(self, batch: Batch, wanted: tuple[str, ...]) -> None:
+        self.batch = batch
+        self.wanted = wanted
