--- a/shallotwharf/adapters/codec.py
+++ b/shallotwharf/adapters/codec.py
@@ -144,6 +144,8 @@
 
 def _build_decoders(record_type: type[records.Record]) -> list[Decoder]:
     constructor: typing.Any = record_type.__init__
+    if constructor is object.__init__:
+        return []
     hints = typing.get_type_hints(constructor)
     arguments = list(inspect.signature(constructor).parameters)[1:]
     if tuple(arguments) != records.list_fields(record_type):
--- /dev/null
+++ b/shallotwharf/components/ledger/const.py
@@ -0,0 +1,37 @@
+"""Limits of the ledger and names of its answers."""
+
+import typing
+
+from shallotwharf.core import clock
+
+# Versions that can be listed and reverted to.
+HISTORY_LIMIT: typing.Final = 200
+# How long a request id gets its first answer again.
+REQUEST_LIFETIME_MS: typing.Final = 24 * clock.HOUR_MS
+# Clocks of operators' machines may run ahead by this much.
+CLOCK_TOLERANCE_MS: typing.Final = 5 * clock.MINUTE_MS
+# Ten times the edits of a day; the oldest ids expire early beyond this.
+REQUEST_LIMIT: typing.Final = 14_000
+# A part of a snapshot must fit into a message of 4 MiB.
+PART_BYTES: typing.Final = 524_288
+MAX_DETAIL_LENGTH: typing.Final = 1000
+GROUP_SIZE: typing.Final = 3
+
+# Kinds of versions in the history.
+KIND_EDIT: typing.Final = 'edit'
+KIND_REVERT: typing.Final = 'revert'
+KIND_STEP: typing.Final = 'step_move'
+KIND_TAKE_BACK: typing.Final = 'take_back'
+KIND_HOLDERS: typing.Final = 'assign_holders'
+
+# Reasons of `EditRefused`.
+REASON_BAD_ID: typing.Final = 'bad_request_id'
+REASON_EXPIRED: typing.Final = 'request_expired'
+REASON_FUTURE: typing.Final = 'request_from_future'
+REASON_REUSED: typing.Final = 'request_id_reused'
+REASON_UNKNOWN_BASE: typing.Final = 'unknown_base'
+REASON_UNKNOWN_VERSION: typing.Final = 'unknown_version'
+REASON_INVALID: typing.Final = 'invalid_tables'
+REASON_MOVE: typing.Final = 'move_not_active'
+REASON_STEP: typing.Final = 'invalid_step'
+REASON_HOLDERS: typing.Final = 'invalid_holders'
--- /dev/null
+++ b/shallotwharf/components/ledger/history.py
@@ -0,0 +1,161 @@
+"""Accepted versions and who made them."""
+
+import collections
+import typing
+
+from shallotwharf.components.ledger import const, messages
+from shallotwharf.components.tables import difference, version
+from shallotwharf.core import records
+
+
+class HistoryRow(records.Record):
+    """One accepted version.
+
+    Attributes:
+        number: number of the version.
+        digest: its digest.
+        kind: one of the `KIND_` names.
+        operator: who made the edit; empty if control made the version.
+        request_id: id of the edit; empty if control made the version.
+        at: wall time of the command.
+        detail: what changed, one line.
+    """
+
+    __slots__ = (
+        'number',
+        'digest',
+        'kind',
+        'operator',
+        'request_id',
+        'at',
+        'detail',
+    )
+
+    def __init__(
+        self,
+        number: int,
+        digest: bytes,
+        kind: str,
+        operator: str,
+        request_id: str,
+        at: int,
+        detail: str,
+    ) -> None:
+        self.number = number
+        self.digest = digest
+        self.kind = kind
+        self.operator = operator
+        self.request_id = request_id
+        self.at = at
+        self.detail = detail
+
+
+class Revision(records.Record):
+    """A row with the difference from the version before."""
+
+    __slots__ = ('row', 'change')
+
+    def __init__(
+        self,
+        row: HistoryRow,
+        change: difference.Difference,
+    ) -> None:
+        self.row = row
+        self.change = change
+
+
+class History:
+    """The latest versions, at most `const.HISTORY_LIMIT` of them.
+
+    Attributes:
+        tables_number: number of the version that last changed the tables;
+            edits on this version or a later one do not conflict, since only
+            moves and holders changed in between.
+        oldest: the version that the first revision starts from.
+    """
+
+    __slots__ = ('tables_number', 'oldest', '_versions', '_revisions')
+
+    def __init__(
+        self,
+        oldest: version.Version = version.EMPTY,
+        tables_number: int = 0,
+    ) -> None:
+        self.tables_number = tables_number
+        self.oldest = oldest
+        self._versions: dict[int, version.Version] = {oldest.number: oldest}
+        self._revisions: collections.deque[Revision] = collections.deque()
+
+    @property
+    def current(self) -> version.Version:
+        """Return the version in force."""
+        if not self._revisions:
+            return self.oldest
+        return self._versions[self._revisions[-1].row.number]
+
+    def list_rows(self) -> tuple[HistoryRow, ...]:
+        """Return the rows, the latest one last."""
+        return tuple(revision.row for revision in self._revisions)
+
+    def list_revisions(self) -> tuple[Revision, ...]:
+        """Return rows and differences, the latest one last."""
+        return tuple(self._revisions)
+
+    def find_version(self, number: int) -> version.Version | None:
+        """Return a version of the history."""
+        return self._versions.get(number)
+
+    def find_winner(self, base: int) -> HistoryRow | None:
+        """Return the first edit of the tables after version `base`."""
+        if base < self.oldest.number:
+            return None
+        for row in self._iterate_edits():
+            if row.number > base:
+                return row
+        return None
+
+    def extend(
+        self,
+        command: messages.Command,
+        kind: str,
+        target: version.Version,
+        detail: str,
+    ) -> HistoryRow:
+        """Make a version the current one; return its row.
+
+        Rows of tables that did not change are shared with the version
+        before, which keeps the history small in memory.
+        """
+        change = difference.compute_difference(self.current, target)
+        row = HistoryRow(
+            target.number,
+            change.digest,
+            kind,
+            getattr(command, 'operator', ''),
+            getattr(command, 'request_id', ''),
+            command.at,
+            detail,
+        )
+        self.append(Revision(row, change))
+        return row
+
+    def append(self, revision: Revision) -> None:
+        """Add a version as its difference from the current one.
+
+        Raises:
+            ProtocolError: if it does not follow the current version.
+        """
+        accepted = difference.apply_difference(self.current, revision.change)
+        self._revisions.append(revision)
+        self._versions[accepted.number] = accepted
+        if revision.row.kind in {const.KIND_EDIT, const.KIND_REVERT}:
+            self.tables_number = accepted.number
+        while len(self._revisions) > const.HISTORY_LIMIT:
+            self._versions.pop(self.oldest.number)
+            dropped = self._revisions.popleft()
+            self.oldest = self._versions[dropped.row.number]
+
+    def _iterate_edits(self) -> typing.Iterator[HistoryRow]:
+        for revision in self._revisions:
+            if revision.row.kind in {const.KIND_EDIT, const.KIND_REVERT}:
+                yield revision.row
--- /dev/null
+++ b/shallotwharf/components/ledger/ledger.py
@@ -0,0 +1,299 @@
+"""State machine over the committed commands."""
+
+import types
+import typing
+
+from shallotwharf.components.ledger import (
+    const,
+    history,
+    holders,
+    messages,
+    moves,
+    requests,
+    snapshot,
+)
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.tables import document, version
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.core import aggregate, effects, schema
+from shallotwharf.core import messages as core_messages
+
+_Edit: typing.TypeAlias = messages.ApplyEdit | messages.Revert
+
+
+class Ledger(aggregate.Aggregate):
+    """Versions and request ids; equal on all processes at equal indices.
+
+    Everything depends on the commands alone: times are those that the
+    commands carry.
+    """
+
+    __slots__ = ('_history', '_book', '_applied')
+
+    name = 'ledger'
+    handlers: typing.ClassVar[aggregate.Handlers] = types.MappingProxyType(
+        {
+            replica_messages.Committed: 'apply',
+            replica_messages.SnapshotWanted: 'take_snapshot',
+            replica_messages.SnapshotRestored: 'restore_snapshot',
+        },
+    )
+
+    def __init__(self) -> None:
+        self._history = history.History()
+        self._book = requests.RequestBook()
+        self._applied = 0
+
+    @property
+    def current(self) -> version.Version:
+        """Return the version in force; number 0 before the first edit."""
+        return self._history.current
+
+    @property
+    def applied(self) -> int:
+        """Return the index of the last command that was applied."""
+        return self._applied
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for the log."""
+        return []
+
+    def list_history(self) -> tuple[history.HistoryRow, ...]:
+        """Return the latest versions with their authors, latest last."""
+        return self._history.list_rows()
+
+    def find_version(self, number: int) -> version.Version | None:
+        """Return a version of the history."""
+        return self._history.find_version(number)
+
+    def find_outcome(self, request_id: str) -> core_messages.Message | None:
+        """Return the answer a request id got; None if unknown."""
+        record = self._book.find(request_id)
+        return None if record is None else record.reply
+
+    def apply(
+        self,
+        committed: replica_messages.Committed,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Apply a command; publish the version it led to; answer it."""
+        method = _COMMANDS.get(type(committed.command))
+        if method is None or committed.index <= self._applied:
+            return []
+        self._applied = committed.index
+        before = self.current.number
+        reply = getattr(self, method)(committed.command)
+        step: list[effects.Effect] = []
+        if self.current.number > before:
+            step.append(self._publish_current())
+        if committed.request:
+            step.append(effects.Answer(committed.request, reply))
+        return step
+
+    def take_snapshot(
+        self,
+        _wanted: replica_messages.SnapshotWanted,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Publish the whole state."""
+        parts = snapshot.build_parts(self._history, self._book)
+        return [
+            effects.Publish(
+                replica_messages.SnapshotTaken(self._applied, parts),
+            ),
+        ]
+
+    def restore_snapshot(
+        self,
+        restored: replica_messages.SnapshotRestored,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Replace the whole state.
+
+        Raises:
+            ProtocolError: if the parts are not those of a ledger.
+        """
+        state = snapshot.Restored(restored.parts)
+        self._history = state.versions
+        self._book = state.book
+        self._applied = restored.index
+        return [self._publish_current()] if self.current.number else []
+
+    def _publish_current(self) -> effects.Effect:
+        return effects.Publish(tables_messages.VersionAccepted(self.current))
+
+    def _apply_edit(
+        self,
+        command: messages.ApplyEdit,
+    ) -> core_messages.Message:
+        return self._answer_once(command, command.tables, const.KIND_EDIT)
+
+    def _revert(self, command: messages.Revert) -> core_messages.Message:
+        old = self._history.find_version(command.number)
+        tables = None if old is None else old.tables
+        return self._answer_once(command, tables, const.KIND_REVERT)
+
+    def _answer_once(
+        self,
+        command: _Edit,
+        tables: version.Tables | None,
+        kind: str,
+    ) -> core_messages.Message:
+        """Run an edit unless its id is known or expired."""
+        self._book.expire(command.at)
+        reply = self._book.check(command)
+        if reply is not None:
+            return reply
+        reply = self._find_objection(command, tables)
+        if reply is None and tables is not None:
+            reply = self._accept_tables(command, tables, kind)
+        assert reply is not None
+        self._book.add(
+            requests.RequestRecord(
+                command.request_id,
+                requests.compute_digest(command),
+                reply,
+            ),
+        )
+        return reply
+
+    def _find_objection(
+        self,
+        command: _Edit,
+        tables: version.Tables | None,
+    ) -> core_messages.Message | None:
+        if command.base > self.current.number:
+            return _refuse(
+                const.REASON_UNKNOWN_BASE,
+                f'version {command.base} does not exist',
+            )
+        if command.base < self._history.tables_number:
+            return self._build_conflict(command.base)
+        if tables is None:
+            return _refuse(
+                const.REASON_UNKNOWN_VERSION,
+                'the version is not in the history',
+            )
+        return _check_tables(tables)
+
+    def _build_conflict(self, base: int) -> messages.EditConflict:
+        winner = self._history.find_winner(base)
+        return messages.EditConflict(
+            self.current.number,
+            '' if winner is None else winner.request_id,
+            '' if winner is None else winner.operator,
+        )
+
+    def _accept_tables(
+        self,
+        command: _Edit,
+        tables: version.Tables,
+        kind: str,
+    ) -> core_messages.Message:
+        number = self.current.number + 1
+        target = version.Version(
+            number,
+            tables,
+            moves.derive_moves(self.current, tables, number),
+            self.current.holders,
+        )
+        return self._accept(command, kind, target, f'base={command.base}')
+
+    def _step_move(self, command: messages.StepMove) -> core_messages.Message:
+        move = moves.find_move(self.current, command.move_id)
+        if move is None or not moves.is_open(move):
+            return _refuse(const.REASON_MOVE, command.move_id)
+        if not moves.is_valid_step(command):
+            return _refuse(
+                const.REASON_STEP,
+                f'share={command.share} state={command.state}',
+            )
+        stepped = move.replace(
+            share=command.share,
+            state=command.state,
+            reason=command.reason,
+        )
+        return self._change_move(command, const.KIND_STEP, move, stepped)
+
+    def _take_back(self, command: messages.TakeBack) -> core_messages.Message:
+        move = moves.find_move(self.current, command.move_id)
+        if move is None or move.state == version.STATE_TAKEN_BACK:
+            return _refuse(const.REASON_MOVE, command.move_id)
+        taken = move.replace(
+            share=0,
+            state=version.STATE_TAKEN_BACK,
+            reason=command.reason,
+        )
+        return self._change_move(command, const.KIND_TAKE_BACK, move, taken)
+
+    def _change_move(
+        self,
+        command: messages.StepMove | messages.TakeBack,
+        kind: str,
+        move: version.Move,
+        changed: version.Move,
+    ) -> core_messages.Message:
+        if move == changed:
+            return messages.EditAccepted(
+                self.current.number,
+                self.current.compute_digest(),
+            )
+        target = moves.replace_move(self.current, changed)
+        detail = (
+            f'move={changed.move_id} share={changed.share} '
+            f'state={changed.state}'
+        )
+        return self._accept(command, kind, target, detail)
+
+    def _assign_holders(
+        self,
+        command: messages.AssignHolders,
+    ) -> core_messages.Message:
+        fault = holders.find_fault(self.current.holders, command.groups)
+        if fault:
+            return _refuse(const.REASON_HOLDERS, fault)
+        target = self.current.replace(
+            number=self.current.number + 1,
+            holders=command.groups,
+        )
+        detail = f'groups={len(command.groups)}'
+        return self._accept(command, const.KIND_HOLDERS, target, detail)
+
+    def _accept(
+        self,
+        command: messages.Command,
+        kind: str,
+        target: version.Version,
+        detail: str,
+    ) -> core_messages.Message:
+        row = self._history.extend(command, kind, target, detail)
+        return messages.EditAccepted(row.number, row.digest)
+
+
+def _check_tables(
+    tables: version.Tables,
+) -> core_messages.Message | None:
+    try:
+        document.check_tables(tables)
+    except ExceptionGroup as faults:
+        detail = '; '.join(schema.format_errors(faults))
+        return _refuse(const.REASON_INVALID, detail)
+    return None
+
+
+def _refuse(reason: str, detail: str) -> messages.EditRefused:
+    return messages.EditRefused(reason, detail[: const.MAX_DETAIL_LENGTH])
+
+
+_COMMANDS: typing.Final = types.MappingProxyType(
+    {
+        messages.ApplyEdit: '_apply_edit',
+        messages.Revert: '_revert',
+        messages.StepMove: '_step_move',
+        messages.TakeBack: '_take_back',
+        messages.AssignHolders: '_assign_holders',
+    },
+)
--- a/shallotwharf/components/ledger/messages.py
+++ b/shallotwharf/components/ledger/messages.py
@@ -4,6 +4,8 @@
 the process that proposed it, so that each replica applies it alike.
 """
 
+import typing
+
 from shallotwharf.components.tables import version
 from shallotwharf.core import messages
 
@@ -106,6 +108,12 @@
         self.at = at
 
 
+# What the ledger takes from the log.
+Command: typing.TypeAlias = (
+    ApplyEdit | Revert | StepMove | TakeBack | AssignHolders
+)
+
+
 @messages.register('ledger.edit_accepted')
 class EditAccepted(messages.Message):
     """The edit became version `number`."""
--- /dev/null
+++ b/shallotwharf/components/ledger/moves.py
@@ -0,0 +1,115 @@
+"""Moves that the tables declare, and their steps."""
+
+import typing
+
+from shallotwharf.components.ledger import messages
+from shallotwharf.components.tables import const, pool, version
+
+# States that `StepMove` may set; taking back is a command of its own.
+_STEP_STATES: typing.Final = frozenset(
+    (
+        version.STATE_PENDING,
+        version.STATE_STEPPING,
+        version.STATE_FULL,
+        version.STATE_WATCHING,
+        version.STATE_DONE,
+        version.STATE_HELD,
+    ),
+)
+_FINAL_STATES: typing.Final = frozenset(
+    (version.STATE_DONE, version.STATE_TAKEN_BACK),
+)
+
+
+def derive_moves(
+    current: version.Version,
+    tables: version.Tables,
+    number: int,
+) -> tuple[version.Move, ...]:
+    """Return the moves of version `number` with new tables.
+
+    A move lives as long as its declaration is in the table of pools.
+    """
+    existing = {move.pool: move for move in current.moves}
+    return tuple(
+        _derive_move(row, row.move, existing.get(row.name), number)
+        for row in tables.pools
+        if row.move is not None
+    )
+
+
+def find_move(
+    current: version.Version,
+    move_id: str,
+) -> version.Move | None:
+    """Return the move of an id."""
+    for move in current.moves:
+        if move.move_id == move_id:
+            return move
+    return None
+
+
+def is_open(move: version.Move | None) -> bool:
+    """Tell whether a move may be stepped."""
+    return move is not None and move.state not in _FINAL_STATES
+
+
+def is_valid_step(command: messages.StepMove) -> bool:
+    """Tell whether share and state are such a move can have."""
+    return (
+        0 <= command.share <= const.FULL_SHARE and command.state in _STEP_STATES
+    )
+
+
+def replace_move(
+    current: version.Version,
+    changed: version.Move,
+) -> version.Version:
+    """Return the next version, with one move changed."""
+    others = [move for move in current.moves if move.pool != changed.pool]
+    return current.replace(
+        number=current.number + 1,
+        moves=(*others, changed),
+    )
+
+
+def _derive_move(
+    row: pool.Pool,
+    declared: pool.MoveDeclaration,
+    existing: version.Move | None,
+    number: int,
+) -> version.Move:
+    served = _find_served(row)
+    if existing is not None and _continues(existing, declared, served):
+        return existing.replace(due_at=declared.due_at)
+    return version.Move(
+        f'{number}-{row.name}',
+        row.name,
+        served,
+        declared.to_version,
+        declared.due_at,
+    )
+
+
+def _continues(
+    existing: version.Move,
+    declared: pool.MoveDeclaration,
+    served: str,
+) -> bool:
+    """Tell whether a declaration is the one a move was made for.
+
+    A new due time alone does not send a running move back to its start, but
+    declares another move where the last one was taken back.
+    """
+    if existing.from_version != served:
+        return False
+    if existing.to_version != declared.to_version:
+        return False
+    if existing.state == version.STATE_TAKEN_BACK:
+        return existing.due_at == declared.due_at
+    return True
+
+
+def _find_served(row: pool.Pool) -> str:
+    # The tables were checked: one version has all the weight.
+    return max(row.weights, key=lambda name: (row.weights[name], name))
--- /dev/null
+++ b/shallotwharf/components/ledger/requests.py
@@ -0,0 +1,120 @@
+"""Request ids with their first answers."""
+
+import heapq
+
+from shallotwharf.components.ledger import const, messages
+from shallotwharf.core import digest as core_digest
+from shallotwharf.core import identifiers, records
+from shallotwharf.core import messages as core_messages
+
+
+class RequestRecord(records.Record):
+    """The first answer to a request id.
+
+    Attributes:
+        request_id: UUIDv7.
+        digest: digest of the request without its time.
+        reply: what it was answered.
+    """
+
+    __slots__ = ('request_id', 'digest', 'reply')
+
+    def __init__(
+        self,
+        request_id: str,
+        digest: bytes,
+        reply: core_messages.Message,
+    ) -> None:
+        self.request_id = request_id
+        self.digest = digest
+        self.reply = reply
+
+
+class RequestBook:
+    """Answers by request id for the lifetime of the ids.
+
+    An id whose record was dropped is never run again: the book remembers
+    the latest time of a dropped id and refuses all that are not later.
+    """
+
+    __slots__ = ('dropped_until', '_records', '_queue')
+
+    def __init__(self, dropped_until: int = 0) -> None:
+        self.dropped_until = dropped_until
+        self._records: dict[str, RequestRecord] = {}
+        # Ids with their times, the earliest one first.
+        self._queue: list[tuple[int, str]] = []
+
+    def expire(self, at: int) -> None:
+        """Drop the records whose lifetime is over at a wall time."""
+        oldest = at - const.REQUEST_LIFETIME_MS
+        while self._queue and (
+            self._queue[0][0] < oldest or len(self._queue) > const.REQUEST_LIMIT
+        ):
+            time, request_id = heapq.heappop(self._queue)
+            self._records.pop(request_id)
+            self.dropped_until = max(self.dropped_until, time)
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        """Return the record of an id."""
+        return self._records.get(request_id)
+
+    def list_records(self) -> list[RequestRecord]:
+        """Return all records."""
+        return list(self._records.values())
+
+    def check(
+        self,
+        command: messages.ApplyEdit | messages.Revert,
+    ) -> core_messages.Message | None:
+        """Return the answer to a request that must not run, if so."""
+        try:
+            time = identifiers.read_time(command.request_id)
+        except ValueError as error:
+            return _refuse(const.REASON_BAD_ID, str(error))
+        record = self._records.get(command.request_id)
+        if record is not None:
+            if record.digest == compute_digest(command):
+                return record.reply
+            return _refuse(
+                const.REASON_REUSED,
+                'another request was sent with this id',
+            )
+        return self._check_time(time, command.at)
+
+    def add(self, record: RequestRecord) -> None:
+        """Keep the first answer to an id.
+
+        Raises:
+            ValueError: if the id is not a UUIDv7.
+        """
+        time = identifiers.read_time(record.request_id)
+        self._records[record.request_id] = record
+        heapq.heappush(self._queue, (time, record.request_id))
+
+    def _check_time(
+        self,
+        time: int,
+        at: int,
+    ) -> core_messages.Message | None:
+        oldest = at - const.REQUEST_LIFETIME_MS
+        if time < oldest or time <= self.dropped_until:
+            return _refuse(
+                const.REASON_EXPIRED,
+                'the request id is older than its lifetime of 24 h',
+            )
+        if time > at + const.CLOCK_TOLERANCE_MS:
+            return _refuse(
+                const.REASON_FUTURE,
+                f'the request id is {time - at} ms ahead of the clock',
+            )
+        return None
+
+
+def compute_digest(command: messages.ApplyEdit | messages.Revert) -> bytes:
+    """Return the digest of a request, whenever it is sent."""
+    return core_digest.compute_digest(command.tag, command.replace(at=0))
+
+
+def _refuse(reason: str, detail: str) -> messages.EditRefused:
+    return messages.EditRefused(reason, detail)
--- /dev/null
+++ b/shallotwharf/components/ledger/snapshot.py
@@ -0,0 +1,99 @@
+"""The whole state of the ledger in parts that fit into messages."""
+
+from shallotwharf.components.ledger import const, history, requests
+from shallotwharf.components.tables import version
+from shallotwharf.core import errors, messages, sizes
+
+_STEP = 'ledger.restore'
+
+
+@messages.register('ledger.snapshot_base')
+class SnapshotBase(messages.Message):
+    """First part: the oldest version, and what is not in the other parts."""
+
+    __slots__ = ('oldest', 'tables_number', 'dropped_until')
+
+    def __init__(
+        self,
+        oldest: version.Version,
+        tables_number: int,
+        dropped_until: int,
+    ) -> None:
+        self.oldest = oldest
+        self.tables_number = tables_number
+        self.dropped_until = dropped_until
+
+
+@messages.register('ledger.snapshot_revisions')
+class SnapshotRevisions(messages.Message):
+    """Versions that follow those of the parts before."""
+
+    __slots__ = ('revisions',)
+
+    def __init__(self, revisions: tuple[history.Revision, ...]) -> None:
+        self.revisions = revisions
+
+
+@messages.register('ledger.snapshot_requests')
+class SnapshotRequests(messages.Message):
+    """Answered request ids."""
+
+    __slots__ = ('answered',)
+
+    def __init__(
+        self,
+        answered: tuple[requests.RequestRecord, ...],
+    ) -> None:
+        self.answered = answered
+
+
+def build_parts(
+    versions: history.History,
+    book: requests.RequestBook,
+) -> tuple[messages.Message, ...]:
+    """Return the state in parts."""
+    base = SnapshotBase(
+        versions.oldest,
+        versions.tables_number,
+        book.dropped_until,
+    )
+    revisions = sizes.split_batches(
+        versions.list_revisions(),
+        const.PART_BYTES,
+    )
+    answered = sizes.split_batches(book.list_records(), const.PART_BYTES)
+    return (
+        base,
+        *(SnapshotRevisions(batch) for batch in revisions),
+        *(SnapshotRequests(batch) for batch in answered),
+    )
+
+
+class Restored:
+    """State built from the parts of a snapshot."""
+
+    __slots__ = ('versions', 'book')
+
+    def __init__(self, parts: tuple[messages.Message, ...]) -> None:
+        """Apply the parts in order.
+
+        Raises:
+            ProtocolError: if they are not the parts of a ledger.
+        """
+        base = parts[0]
+        if not isinstance(base, SnapshotBase):
+            raise errors.ProtocolError(f'{base.tag} is not the base', _STEP)
+        self.book = requests.RequestBook(base.dropped_until)
+        self.versions = history.History(base.oldest, base.tables_number)
+        for part in parts[1:]:
+            self._apply(part)
+
+    def _apply(self, part: messages.Message) -> None:
+        if isinstance(part, SnapshotRevisions):
+            for revision in part.revisions:
+                self.versions.append(revision)
+        elif isinstance(part, SnapshotRequests):
+            for record in part.answered:
+                self.book.add(record)
+        else:
+            raise errors.ProtocolError(f'unexpected part {part.tag}', _STEP)
--- /dev/null
+++ b/shallotwharf/components/replica/configuration.py
@@ -0,0 +1,109 @@
+"""Which processes hold the log, and who of them votes."""
+
+import typing
+from collections import abc
+
+from shallotwharf.core import messages, records
+
+
+class Member(records.Record):
+    """A process with its disk.
+
+    Attributes:
+        name: name of the process.
+        identity: random name of its data folder; an emptied disk has
+            another one, so that it never counts as the voter it was.
+    """
+
+    __slots__ = ('name', 'identity')
+
+    def __init__(self, name: str, identity: str) -> None:
+        self.name = name
+        self.identity = identity
+
+
+@messages.register('replica.configuration')
+class Configuration(messages.Message):
+    """Voters and learners; in force as soon as it is in the log."""
+
+    __slots__ = ('voters', 'learners')
+
+    def __init__(
+        self,
+        voters: tuple[Member, ...],
+        learners: tuple[Member, ...] = (),
+    ) -> None:
+        self.voters = voters
+        self.learners = learners
+
+    @property
+    def majority(self) -> int:
+        """Return how many voters are a majority."""
+        return len(self.voters) // 2 + 1
+
+    def is_voter(self, identity: str) -> bool:
+        """Tell whether a disk belongs to a voter."""
+        return any(voter.identity == identity for voter in self.voters)
+
+    def is_member(self, identity: str) -> bool:
+        """Tell whether a disk belongs to a voter or a learner."""
+        return any(
+            member.identity == identity for member in self.list_members()
+        )
+
+    def has_name(self, name: str) -> bool:
+        """Tell whether a voter or learner has a name."""
+        return any(member.name == name for member in self.list_members())
+
+    def list_members(self) -> tuple[Member, ...]:
+        """Return voters and learners."""
+        return self.voters + self.learners
+
+    def list_peers(self, identity: str) -> list[Member]:
+        """Return whom the leader with a disk replicates to.
+
+        A voter whose name a learner has lost its disk; only the learner can
+        be reached under that name.
+        """
+        learning = {learner.name for learner in self.learners}
+        peers = [voter for voter in self.voters if voter.name not in learning]
+        peers.extend(self.learners)
+        return [peer for peer in peers if peer.identity != identity]
+
+    def has_majority(self, identities: abc.Container[str]) -> bool:
+        """Tell whether the disks include a majority of the voters."""
+        present = [
+            voter for voter in self.voters if voter.identity in identities
+        ]
+        return len(present) >= self.majority
+
+    def with_learner(self, learner: Member) -> typing.Self:
+        """Return a copy with a learner that replaces one of its name."""
+        others = _without_name(self.learners, learner.name)
+        return type(self)(self.voters, (*others, learner))
+
+    def without(self, name: str) -> typing.Self:
+        """Return a copy without the voter and learner of a name."""
+        return type(self)(
+            _without_name(self.voters, name),
+            _without_name(self.learners, name),
+        )
+
+    def promote(self, learner: Member) -> typing.Self:
+        """Return the next step that makes a learner a voter.
+
+        The voter that had the name before is removed first, since one
+        change may add or remove one voter only.
+        """
+        others = _without_name(self.voters, learner.name)
+        if len(others) < len(self.voters):
+            return type(self)(others, self.learners)
+        learners = _without_name(self.learners, learner.name)
+        return type(self)((*self.voters, learner), learners)
+
+
+def _without_name(
+    members: tuple[Member, ...],
+    name: str,
+) -> tuple[Member, ...]:
+    return tuple(member for member in members if member.name != name)
--- /dev/null
+++ b/shallotwharf/components/replica/const.py
@@ -0,0 +1,44 @@
+"""Times and limits of the replicated log."""
+
+import typing
+
+HEARTBEAT_MS: typing.Final = 150
+# Below the shortest election timeout, so that a leader without a majority
+# stops before another one can be elected. The gap of 100 ms allows for
+# clocks that run up to 10% apart.
+LEASE_MS: typing.Final = 900
+ELECTION_MIN_MS: typing.Final = 1000
+ELECTION_MAX_MS: typing.Final = 2000
+
+# How often a process without a configuration asks the others for theirs.
+GREET_MS: typing.Final = 300
+# An answer older than this no longer counts when a group is founded.
+GREETING_LIFETIME_MS: typing.Final = 2000
+# How often a failed disk is tried again.
+PROBE_MS: typing.Final = 1000
+
+# A snapshot is taken after so many entries; a part of the log before it is
+# kept for followers that lag a little.
+SNAPSHOT_ENTRIES: typing.Final = 256
+KEPT_ENTRIES: typing.Final = 128
+
+BATCH_ENTRIES: typing.Final = 64
+BATCH_BYTES: typing.Final = 524_288
+# Batches and entries sent to a follower ahead of its answers.
+MAX_BATCHES_IN_FLIGHT: typing.Final = 4
+MAX_ENTRIES_IN_FLIGHT: typing.Final = 256
+# One command must fit into a message of 4 MiB with room to spare.
+MAX_COMMAND_BYTES: typing.Final = 1_048_576
+# Commands appended and not yet committed.
+MAX_UNCOMMITTED: typing.Final = 512
+PART_RESEND_MS: typing.Final = 1000
+
+TIMER_ELECTION: typing.Final = 'election'
+TIMER_HEARTBEAT: typing.Final = 'heartbeat'
+TIMER_LEASE: typing.Final = 'lease'
+TIMER_GREET: typing.Final = 'greet'
+TIMER_PROBE: typing.Final = 'probe'
+
+ROLE_FOLLOWER: typing.Final = 'follower'
+ROLE_CANDIDATE: typing.Final = 'candidate'
+ROLE_LEADER: typing.Final = 'leader'
--- /dev/null
+++ b/shallotwharf/components/replica/duties.py
@@ -0,0 +1,192 @@
+"""What a replica does on its own: timers, disk faults, announcements."""
+
+import types
+import typing
+
+from shallotwharf.components.replica import (
+    const,
+    elections,
+    following,
+    founding,
+    kernel,
+    leadership,
+    membership,
+    messages,
+)
+from shallotwharf.core import effects, sizes
+from shallotwharf.core import messages as core_messages
+
+
+class Duties:
+    """Ties the parts of a replica together."""
+
+    __slots__ = (
+        '_kernel',
+        '_elections',
+        '_leadership',
+        '_following',
+        '_founding',
+        '_membership',
+        '_published',
+    )
+
+    def __init__(
+        self,
+        shared: kernel.Kernel,
+        voting: elections.Elections,
+        lead: leadership.Leadership,
+        follow: following.Following,
+        found: founding.Founding,
+        group: membership.Membership,
+    ) -> None:
+        self._kernel = shared
+        self._elections = voting
+        self._leadership = lead
+        self._following = follow
+        self._founding = found
+        self._membership = group
+        self._published: messages.LeaderChanged | None = None
+
+    def start(self, now: int) -> None:
+        """Publish the snapshot and look for a group or a leader."""
+        # Before the last stop this process may have promised a leader not
+        # to vote for another one for a while.
+        self._kernel.heard_at = now
+        self._kernel.publish_snapshot()
+        self._founding.greet(now)
+        self.begin(now)
+
+    def begin(self, now: int) -> None:
+        """Take part in the group; a single voter leads at once."""
+        voters = self._kernel.members.voters
+        alone = [voter.identity for voter in voters] == [self._kernel.identity]
+        if not alone:
+            self._elections.reset_timer(now)
+        elif self._elections.start_election(now):
+            self._leadership.start(now)
+
+    def fire(self, timer: str, now: int) -> None:
+        """Do what is due."""
+        getattr(self, _TIMERS[timer])(now)
+
+    def is_leading(self, now: int) -> bool:
+        """Tell whether this process may answer for the group."""
+        return (
+            self._kernel.role == const.ROLE_LEADER
+            and self._leadership.settled
+            and self._leadership.holds_lease(now)
+        )
+
+    def find_refusal(
+        self,
+        command: core_messages.Message | None,
+        now: int,
+    ) -> core_messages.Message | None:
+        """Return why nothing can be appended now, if so."""
+        if not self.is_leading(now):
+            leader = self._kernel.leader
+            if leader == self._kernel.name:
+                leader = ''
+            return messages.NotLeader(leader)
+        reason = ''
+        waiting = self._kernel.log.last_index - self._kernel.commit
+        if self._kernel.storage_failed:
+            reason = 'storage_failed'
+        elif waiting >= const.MAX_UNCOMMITTED:
+            reason = 'too_many'
+        elif sizes.estimate_bytes(command) > const.MAX_COMMAND_BYTES:
+            reason = 'too_large'
+        return messages.ProposalRefused(reason) if reason else None
+
+    def may_change(self, request: str, now: int) -> bool:
+        """Tell whether the group may be changed; answer if not."""
+        refusal = self.find_refusal(None, now)
+        if refusal is not None:
+            self._kernel.outbox.answer(request, refusal)
+        return refusal is None
+
+    def step_down(self, now: int) -> None:
+        """Stop leading."""
+        self._kernel.follow('')
+        self._elections.reset_timer(now)
+
+    def recover_store(self, now: int) -> None:
+        """Go back before the step that failed; write nothing for a while.
+
+        A leader keeps its lease, so that it stays readable, until another
+        process takes over.
+        """
+        led = self._kernel.undo()
+        self._kernel.storage_failed = True
+        self._kernel.snapshot_wanted = False
+        self._published = None
+        self._following.reset()
+        self._kernel.drop_requests()
+        if led:
+            self._leadership.rewind(now)
+        else:
+            self.step_down(now)
+        self._founding.arm_timer(now)
+        self._kernel.outbox.add(
+            effects.SetTimer(const.TIMER_PROBE, now + const.PROBE_MS),
+        )
+
+    def finish(self, now: int) -> list[effects.Effect]:
+        """Announce a change of leader; return the effects of the step."""
+        if membership.is_removed(self._kernel):
+            self.step_down(now)
+        current = messages.LeaderChanged(
+            self._kernel.leader,
+            self.is_leading(now),
+        )
+        if current != self._published:
+            self._published = current
+            self._kernel.outbox.add(effects.Publish(current))
+        return self._kernel.outbox.take()
+
+    def _campaign(self, now: int) -> None:
+        if self._kernel.role == const.ROLE_LEADER:
+            return
+        if self._elections.start_pre_vote(now):
+            self._leadership.start(now)
+
+    def _beat(self, now: int) -> None:
+        if self._kernel.role != const.ROLE_LEADER:
+            return
+        if self._leadership.is_overdue(now):
+            self.step_down(now)
+            return
+        if not self._kernel.storage_failed:
+            self._membership.promote_learners(now)
+        elif self._membership.hand_over():
+            self.step_down(now)
+            return
+        self._leadership.beat(now)
+
+    def _check_lease(self, now: int) -> None:
+        if self._kernel.role != const.ROLE_LEADER:
+            return
+        if self._leadership.is_overdue(now):
+            self.step_down(now)
+        else:
+            self._leadership.arm_lease(now)
+
+    def _greet(self, now: int) -> None:
+        self._founding.greet(now)
+
+    def _probe(self, now: int) -> None:
+        """Write the state again; `StoreFailed` follows if that fails."""
+        if self._kernel.storage_failed:
+            self._kernel.storage_failed = False
+            self._kernel.change_term(self._kernel.term, self._kernel.vote)
+
+
+_TIMERS: typing.Final = types.MappingProxyType(
+    {
+        const.TIMER_ELECTION: '_campaign',
+        const.TIMER_HEARTBEAT: '_beat',
+        const.TIMER_LEASE: '_check_lease',
+        const.TIMER_GREET: '_greet',
+        const.TIMER_PROBE: '_probe',
+    },
+)
--- /dev/null
+++ b/shallotwharf/components/replica/following.py
@@ -0,0 +1,151 @@
+"""What a follower does with entries and snapshots of the leader."""
+
+from shallotwharf.components.replica import (
+    kernel,
+    protocol,
+    stored,
+)
+from shallotwharf.core import messages as core_messages
+
+
+class _Incoming:
+    """Parts of a snapshot that arrived so far."""
+
+    __slots__ = ('header', 'parts')
+
+    def __init__(self, header: stored.Snapshot) -> None:
+        self.header = header
+        self.parts: list[core_messages.Message] = []
+
+
+class Following:
+    """Applies what the leader sends, and answers once it is on disk."""
+
+    __slots__ = ('_kernel', '_incoming')
+
+    def __init__(self, shared: kernel.Kernel) -> None:
+        self._kernel = shared
+        self._incoming: _Incoming | None = None
+
+    def reset(self) -> None:
+        """Forget the parts of a snapshot after a store that failed."""
+        self._incoming = None
+
+    def refuse(
+        self,
+        message: protocol.AppendEntries | protocol.InstallSnapshot,
+        sender: str,
+    ) -> None:
+        """Tell a leader of an earlier term of the current one."""
+        if isinstance(message, protocol.AppendEntries):
+            self._reply(message, sender, accepted=False, index=0)
+        else:
+            self._reply_part(message, sender, 0)
+
+    def receive_entries(
+        self,
+        message: protocol.AppendEntries,
+        sender: str,
+    ) -> None:
+        """Append entries that follow the own log, and commit."""
+        if not self._matches(message):
+            self._reply(
+                message,
+                sender,
+                accepted=False,
+                index=self._find_hint(message.previous_index),
+            )
+            return
+        index = message.previous_index
+        if not self._kernel.storage_failed:
+            index += len(message.entries)
+            self._append_new(message.entries)
+        commit = min(message.commit, index)
+        if commit > self._kernel.commit:
+            self._kernel.commit_to(commit)
+        self._reply(message, sender, accepted=True, index=index)
+
+    def receive_part(
+        self,
+        message: protocol.InstallSnapshot,
+        sender: str,
+    ) -> None:
+        """Collect a part of a snapshot; install it once it is complete."""
+        if message.header.index <= self._kernel.commit:
+            self._reply_part(message, sender, message.total)
+            return
+        if self._kernel.storage_failed:
+            return
+        incoming = self._incoming
+        if incoming is None or incoming.header != message.header:
+            incoming = _Incoming(message.header)
+            self._incoming = incoming
+        if message.part == len(incoming.parts):
+            incoming.parts.append(message.content)
+        needed = len(incoming.parts)
+        if needed == message.total:
+            self._kernel.install(incoming.header, tuple(incoming.parts))
+            self._incoming = None
+        self._reply_part(message, sender, needed)
+
+    def _matches(self, message: protocol.AppendEntries) -> bool:
+        # Committed entries are the same on all replicas, so that those
+        # before the snapshot need no comparison.
+        if message.previous_index <= self._kernel.commit:
+            return True
+        found = self._kernel.log.find_term(message.previous_index)
+        return found == message.previous_term
+
+    def _find_hint(self, previous: int) -> int:
+        log = self._kernel.log
+        if previous > log.last_index:
+            return log.last_index + 1
+        return max(
+            log.find_first_of_term(previous),
+            self._kernel.commit + 1,
+        )
+
+    def _append_new(self, entries: tuple[stored.Entry, ...]) -> None:
+        """Append from the first entry on that the log does not have."""
+        for offset, entry in enumerate(entries):
+            if entry.index <= self._kernel.commit:
+                continue
+            if self._kernel.log.find_term(entry.index) != entry.term:
+                self._kernel.append(entries[offset:])
+                return
+
+    def _reply(
+        self,
+        message: protocol.AppendEntries,
+        sender: str,
+        accepted: bool,
+        index: int,
+    ) -> None:
+        self._kernel.outbox.send(
+            sender,
+            protocol.AppendReply(
+                self._kernel.term,
+                self._kernel.identity,
+                accepted,
+                index,
+                not self._kernel.storage_failed,
+                message.sent_at,
+            ),
+        )
+
+    def _reply_part(
+        self,
+        message: protocol.InstallSnapshot,
+        sender: str,
+        needed: int,
+    ) -> None:
+        self._kernel.outbox.send(
+            sender,
+            protocol.InstallReply(
+                self._kernel.term,
+                self._kernel.identity,
+                message.header.index,
+                needed,
+                message.sent_at,
+            ),
+        )
--- /dev/null
+++ b/shallotwharf/components/replica/kernel.py
@@ -0,0 +1,254 @@
+"""State that all parts of a replica share, with what it stores."""
+
+import random
+import typing
+
+from shallotwharf.components.replica import (
+    configuration,
+    const,
+    log,
+    messages,
+    outbox,
+    stored,
+)
+from shallotwharf.core import effects, records, storage
+from shallotwharf.core import messages as core_messages
+
+INTERNAL: typing.Final = (stored.Noop, configuration.Configuration)
+
+
+class _Checkpoint(records.Record):
+    __slots__ = ('term', 'vote', 'commit', 'snapshot', 'parts', 'role', 'log')
+
+    def __init__(
+        self,
+        term: int,
+        vote: str,
+        commit: int,
+        snapshot: stored.Snapshot | None,
+        parts: tuple[core_messages.Message, ...],
+        role: str,
+        saved_log: log.Checkpoint,
+    ) -> None:
+        self.term = term
+        self.vote = vote
+        self.commit = commit
+        self.snapshot = snapshot
+        self.parts = parts
+        self.role = role
+        self.log = saved_log
+
+
+class Kernel:
+    """Term, vote, log, commit index and role of one replica.
+
+    What a step changes here is only seen by others through effects that run
+    after its stores. When a store fails, `undo` goes back to the state
+    before the step; the disk may then be ahead, with a term, vote or entries
+    that nobody was told of, which is the same as a lost reply.
+    """
+
+    __slots__ = (
+        'name',
+        'identity',
+        'random',
+        'log',
+        'term',
+        'vote',
+        'commit',
+        'snapshot',
+        'parts',
+        'role',
+        'leader',
+        'heard_at',
+        'storage_failed',
+        'outbox',
+        'pending',
+        'touched',
+        'snapshot_wanted',
+        '_checkpoint',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        recovered: storage.Recovered,
+        source: random.Random,
+    ) -> None:
+        self.name = name
+        self.identity = recovered.identity
+        self.random = source
+        self.outbox = outbox.Outbox()
+        self.role = const.ROLE_FOLLOWER
+        self.leader = ''
+        self.heard_at = 0
+        self.storage_failed = False
+        # Requests by the index of the entry this process appended for them.
+        self.pending: dict[int, str] = {}
+        # Requests added or answered in this step, for a store that fails.
+        self.touched: list[str] = []
+        self.snapshot_wanted = False
+        state = typing.cast(stored.State | None, recovered.state)
+        self.term = 0 if state is None else state.term
+        self.vote = '' if state is None else state.vote
+        self.snapshot = typing.cast(stored.Snapshot | None, recovered.header)
+        self.parts = recovered.parts
+        self.commit = 0 if self.snapshot is None else self.snapshot.index
+        self.log = log.Log()
+        self._load(typing.cast(tuple[stored.Entry, ...], recovered.entries))
+        self._checkpoint = self._build_checkpoint()
+
+    @property
+    def members(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self.log.members
+
+    @property
+    def founded(self) -> bool:
+        """Tell whether this process has a configuration."""
+        return bool(self.members.voters)
+
+    def begin_step(self) -> None:
+        """Remember the state to go back to if a store fails."""
+        self.touched = []
+        self._checkpoint = self._build_checkpoint()
+
+    def undo(self) -> bool:
+        """Go back before the step; return whether this process still leads."""
+        saved = self._checkpoint
+        led = const.ROLE_LEADER == saved.role == self.role
+        self.term = saved.term
+        self.vote = saved.vote
+        self.commit = saved.commit
+        self.snapshot = saved.snapshot
+        self.parts = saved.parts
+        self.log.restore(saved.log)
+        return led
+
+    def change_term(self, term: int, vote: str = '') -> None:
+        """Enter a term or vote in the current one; stored in this step."""
+        self.term = term
+        self.vote = vote
+        self.outbox.save_state(stored.State(term, vote))
+
+    def follow(self, leader: str) -> None:
+        """Become follower; requests that wait get no certain answer."""
+        self.role = const.ROLE_FOLLOWER
+        self.leader = leader
+        for request in self.pending.values():
+            self.outbox.answer_early(request, messages.OutcomeUnknown())
+        self.pending = {}
+
+    def drop_requests(self) -> None:
+        """Answer the requests of a step that was undone."""
+        lost = {
+            index: request
+            for index, request in self.pending.items()
+            if index > self.log.last_index
+        }
+        for index in lost:
+            self.pending.pop(index)
+        for request in (*lost.values(), *self.touched):
+            self.outbox.answer_early(request, messages.OutcomeUnknown())
+
+    def append(self, entries: tuple[stored.Entry, ...]) -> None:
+        """Write entries to log and disk."""
+        self.log.append(entries)
+        self.outbox.store(storage.AppendRecords(entries[0].index, entries))
+
+    def commit_to(self, index: int) -> None:
+        """Publish the commands up to an index that a majority has."""
+        for entry in self.log.read_range(self.commit + 1, index):
+            request = self.pending.pop(entry.index, '')
+            if request:
+                self.touched.append(request)
+            if not isinstance(entry.command, INTERNAL):
+                self.outbox.add(
+                    effects.Publish(
+                        messages.Committed(
+                            entry.index,
+                            entry.command,
+                            request,
+                        ),
+                    ),
+                )
+        self.commit = max(index, self.commit)
+        self._want_snapshot()
+
+    def take_snapshot(self, taken: messages.SnapshotTaken) -> None:
+        """Store a snapshot of the own state and shorten the log."""
+        self.snapshot_wanted = False
+        term = self.log.find_term(taken.index)
+        held = 0 if self.snapshot is None else self.snapshot.index
+        if term is None or not held < taken.index <= self.commit:
+            return
+        self.snapshot = stored.Snapshot(
+            taken.index,
+            term,
+            self.log.find_members(taken.index),
+        )
+        self.parts = taken.parts
+        first = max(taken.index - const.KEPT_ENTRIES, self.log.base) + 1
+        self.log.compact(self.snapshot, first)
+        self._save_snapshot(first)
+
+    def install(
+        self,
+        snapshot: stored.Snapshot,
+        parts: tuple[core_messages.Message, ...],
+    ) -> None:
+        """Replace state and log by the snapshot of the leader."""
+        self.snapshot = snapshot
+        self.parts = parts
+        if self.log.find_term(snapshot.index) == snapshot.term:
+            self.log.compact(snapshot, snapshot.index + 1)
+        else:
+            self.log.reset(snapshot)
+        self.commit = snapshot.index
+        self._save_snapshot(snapshot.index + 1)
+        self.publish_snapshot()
+
+    def publish_snapshot(self) -> None:
+        """Hand the state of the snapshot to the component that applies."""
+        if self.snapshot is not None:
+            self.outbox.add(
+                effects.Publish(
+                    messages.SnapshotRestored(self.snapshot.index, self.parts),
+                ),
+            )
+
+    def _build_checkpoint(self) -> _Checkpoint:
+        return _Checkpoint(
+            self.term,
+            self.vote,
+            self.commit,
+            self.snapshot,
+            self.parts,
+            self.role,
+            self.log.checkpoint(),
+        )
+
+    def _load(self, entries: tuple[stored.Entry, ...]) -> None:
+        self.log.load(self.snapshot, entries)
+        # A term may be on disk in an entry alone, after a failed store.
+        if self.log.last_term > self.term:
+            self.term = self.log.last_term
+            self.vote = ''
+
+    def _want_snapshot(self) -> None:
+        held = 0 if self.snapshot is None else self.snapshot.index
+        due = self.commit - held >= const.SNAPSHOT_ENTRIES
+        if due and not self.snapshot_wanted:
+            self.snapshot_wanted = True
+            self.outbox.add(effects.Publish(messages.SnapshotWanted()))
+
+    def _save_snapshot(self, first: int) -> None:
+        if self.snapshot is not None:
+            self.outbox.store(
+                storage.SaveSnapshot(
+                    self.snapshot,
+                    self.parts,
+                    first,
+                    self.log.last_index,
+                ),
+            )
--- /dev/null
+++ b/shallotwharf/components/replica/leadership.py
@@ -0,0 +1,240 @@
+"""What a leader does: replicate, commit, keep its lease."""
+
+from shallotwharf.components.replica import (
+    configuration,
+    const,
+    kernel,
+    progress,
+    protocol,
+    stored,
+)
+from shallotwharf.core import effects, messages
+
+
+class Leadership:
+    """Followers, lease and commit rule of one term as leader."""
+
+    __slots__ = ('_kernel', '_peers', '_first', '_began_at')
+
+    def __init__(self, shared: kernel.Kernel) -> None:
+        self._kernel = shared
+        self._peers: dict[str, progress.Progress] = {}
+        self._first = 0
+        self._began_at = 0
+
+    @property
+    def peers(self) -> dict[str, progress.Progress]:
+        """Return the progress of all followers by their disks."""
+        return self._peers
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether an entry of the own term is committed.
+
+        Before that the state may lack entries that were committed earlier.
+        """
+        return self._kernel.commit >= self._first
+
+    def start(self, now: int) -> None:
+        """Become leader of the current term."""
+        self._kernel.role = const.ROLE_LEADER
+        self._kernel.leader = self._kernel.name
+        self._kernel.outbox.add(effects.CancelTimer(const.TIMER_ELECTION))
+        self._peers = {}
+        self._began_at = now
+        self._first = self._kernel.log.last_index + 1
+        self.append(stored.Noop(), now)
+        self.beat(now)
+
+    def holds_lease(self, now: int) -> bool:
+        """Tell whether a majority answered what was sent lately."""
+        return now < self.find_lease_end(now)
+
+    def find_lease_end(self, now: int) -> int:
+        """Return when the lease ends unless more answers arrive."""
+        acked = sorted(
+            (self._read_acked(voter, now) for voter in self._voters()),
+            reverse=True,
+        )
+        return acked[self._kernel.members.majority - 1] + const.LEASE_MS
+
+    def is_overdue(self, now: int) -> bool:
+        """Tell whether the lease is lost and not only not yet gained."""
+        return (
+            not self.holds_lease(now) and now - self._began_at >= const.LEASE_MS
+        )
+
+    def append(self, command: messages.Message, now: int) -> int:
+        """Append a command; return its index."""
+        index = self._kernel.log.last_index + 1
+        entry = stored.Entry(index, self._kernel.term, command)
+        self._kernel.append((entry,))
+        if isinstance(command, configuration.Configuration):
+            self._update_peers()
+        for peer in self._peers.values():
+            self._replicate(peer, now)
+        self._advance_commit()
+        return index
+
+    def beat(self, now: int) -> None:
+        """Send a heartbeat and what was lost to each follower."""
+        self._update_peers()
+        for peer in self._peers.values():
+            peer.tick()
+            if not self._replicate(peer, now):
+                self._send_entries(peer, (), now)
+        self.arm_timers(now)
+
+    def arm_timers(self, now: int) -> None:
+        """Set the timers of heartbeat and lease."""
+        if not self._peers:
+            self._kernel.outbox.add(effects.CancelTimer(const.TIMER_LEASE))
+            self._kernel.outbox.add(effects.CancelTimer(const.TIMER_HEARTBEAT))
+            return
+        self.arm_lease(now)
+        self._kernel.outbox.add(
+            effects.SetTimer(
+                const.TIMER_HEARTBEAT,
+                now + const.HEARTBEAT_MS,
+            ),
+        )
+
+    def arm_lease(self, now: int) -> None:
+        """Set the timer for the end of the lease."""
+        ends_at = max(
+            self.find_lease_end(now),
+            self._began_at + const.LEASE_MS,
+        )
+        self._kernel.outbox.add(
+            effects.SetTimer(const.TIMER_LEASE, max(ends_at, now + 1)),
+        )
+
+    def rewind(self, now: int) -> None:
+        """Send again from the end of the log, which was cut by an undo."""
+        self._update_peers()
+        self.arm_timers(now)
+        for peer in self._peers.values():
+            peer.go_back(self._kernel.log.last_index + 1)
+
+    def receive_reply(self, message: protocol.AppendReply, now: int) -> None:
+        """Take note of a follower's answer and send what it needs."""
+        peer = self._peers.get(message.identity)
+        if peer is None:
+            return
+        peer.acked_at = max(peer.acked_at, message.sent_at)
+        peer.writable = message.writable
+        if message.accepted:
+            peer.accept(message.index)
+            self._advance_commit()
+        else:
+            peer.go_back(message.index)
+        self._replicate(peer, now)
+
+    def receive_part_reply(
+        self,
+        message: protocol.InstallReply,
+        now: int,
+    ) -> None:
+        """Send the next part of a snapshot, or what follows it."""
+        peer = self._peers.get(message.identity)
+        if peer is None:
+            return
+        peer.acked_at = max(peer.acked_at, message.sent_at)
+        if peer.accept_part(message.index, message.part):
+            self._advance_commit()
+        self._replicate(peer, now)
+
+    def _voters(self) -> tuple[configuration.Member, ...]:
+        return self._kernel.members.voters
+
+    def _read_acked(self, voter: configuration.Member, now: int) -> int:
+        if voter.identity == self._kernel.identity:
+            return now
+        peer = self._peers.get(voter.identity)
+        return self._began_at - const.LEASE_MS if not peer else peer.acked_at
+
+    def _read_match(self, voter: configuration.Member) -> int:
+        if voter.identity == self._kernel.identity:
+            return self._kernel.log.last_index
+        peer = self._peers.get(voter.identity)
+        return peer.match if peer else 0
+
+    def _update_peers(self) -> None:
+        next_index = self._kernel.log.last_index + 1
+        members = self._kernel.members.list_peers(self._kernel.identity)
+        self._peers = {
+            member.identity: self._peers.get(member.identity)
+            or progress.Progress(member, next_index)
+            for member in members
+        }
+
+    def _advance_commit(self) -> None:
+        matches = sorted(map(self._read_match, self._voters()), reverse=True)
+        index = matches[self._kernel.members.majority - 1]
+        # An entry of an earlier term may still be replaced although a
+        # majority has it; it commits with one of the own term.
+        if index > self._kernel.commit and index >= self._first:
+            self._kernel.commit_to(index)
+
+    def _replicate(self, peer: progress.Progress, now: int) -> bool:
+        """Send what a follower needs; return whether anything was sent."""
+        previous = peer.next - 1
+        if peer.snapshot is None and previous < self._kernel.log.base:
+            self._begin_snapshot(peer)
+        if peer.snapshot is not None:
+            return self._send_part(peer, peer.snapshot, now)
+        sent = False
+        while peer.has_room and peer.next <= self._kernel.log.last_index:
+            batch = self._kernel.log.read_batch(peer.next)
+            self._send_entries(peer, batch, now)
+            peer.batches += 1
+            peer.next += len(batch)
+            sent = True
+        return sent
+
+    def _begin_snapshot(self, peer: progress.Progress) -> None:
+        if self._kernel.snapshot is not None:
+            peer.begin_snapshot(self._kernel.snapshot, self._kernel.parts)
+
+    def _send_part(
+        self,
+        peer: progress.Progress,
+        snapshot: stored.Snapshot,
+        now: int,
+    ) -> bool:
+        if now - peer.part_sent_at < const.PART_RESEND_MS:
+            return False
+        peer.part_sent_at = now
+        self._kernel.outbox.send(
+            peer.member.name,
+            protocol.InstallSnapshot(
+                self._kernel.term,
+                peer.member.identity,
+                snapshot,
+                peer.part,
+                len(peer.parts),
+                peer.parts[peer.part],
+                now,
+            ),
+        )
+        return True
+
+    def _send_entries(
+        self,
+        peer: progress.Progress,
+        batch: tuple[stored.Entry, ...],
+        now: int,
+    ) -> None:
+        previous = 0 if peer.snapshot is not None else peer.next - 1
+        self._kernel.outbox.send(
+            peer.member.name,
+            protocol.AppendEntries(
+                self._kernel.term,
+                peer.member.identity,
+                previous,
+                self._kernel.log.find_term(previous) or 0,
+                batch,
+                self._kernel.commit if previous else 0,
+                now,
+            ),
+        )
--- /dev/null
+++ b/shallotwharf/components/replica/membership.py
@@ -0,0 +1,135 @@
+"""Changes of the group, one at a time, decided by the leader."""
+
+from shallotwharf.components.replica import (
+    configuration,
+    const,
+    kernel,
+    leadership,
+    messages,
+    progress,
+    protocol,
+)
+
+
+class Membership:
+    """Adds learners, makes them voters, removes members.
+
+    A process whose name is in the configuration with another disk lost its
+    disk; it becomes a learner without an operator. A new name needs one.
+    """
+
+    __slots__ = ('_kernel', '_leadership', '_candidates')
+
+    def __init__(
+        self,
+        shared: kernel.Kernel,
+        lead: leadership.Leadership,
+    ) -> None:
+        self._kernel = shared
+        self._leadership = lead
+        # Processes that greeted, by name, with their latest disk.
+        self._candidates: dict[str, configuration.Member] = {}
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether a change may begin."""
+        return (
+            self._leadership.settled
+            and self._kernel.log.changed_at <= self._kernel.commit
+        )
+
+    def receive_greet(self, greeter: configuration.Member, now: int) -> None:
+        """Make a process that lost its disk a learner."""
+        self._candidates[greeter.name] = greeter
+        members = self._kernel.members
+        if members.is_member(greeter.identity):
+            return
+        if members.has_name(greeter.name) and self.idle:
+            self._change(members.with_learner(greeter), now)
+
+    def add(self, message: messages.AddMember, now: int) -> None:
+        """Add a process that greeted as a learner."""
+        candidate = self._candidates.get(message.name)
+        members = self._kernel.members
+        if candidate is None or members.is_member(candidate.identity):
+            self._refuse(message.request, 'unknown_member')
+        elif self.idle:
+            self._change(members.with_learner(candidate), now)
+            self._accept(message.request)
+        else:
+            self._refuse(message.request, 'change_in_progress')
+
+    def remove(self, message: messages.RemoveMember, now: int) -> None:
+        """Remove a voter or learner; the last voter stays."""
+        members = self._kernel.members
+        left = members.without(message.name)
+        if not members.has_name(message.name):
+            self._refuse(message.request, 'unknown_member')
+        elif not left.voters:
+            self._refuse(message.request, 'last_voter')
+        elif self.idle:
+            self._candidates.pop(message.name, None)
+            self._change(left, now)
+            self._accept(message.request)
+        else:
+            self._refuse(message.request, 'change_in_progress')
+
+    def promote_learners(self, now: int) -> None:
+        """Make a learner that has the whole log a voter."""
+        if not self.idle:
+            return
+        for peer in self._leadership.peers.values():
+            if self._is_ready(peer):
+                self._change(self._kernel.members.promote(peer.member), now)
+                return
+
+    def hand_over(self) -> bool:
+        """Give the lead to a follower that can write; return whether so."""
+        for peer in self._leadership.peers.values():
+            if self._can_lead(peer):
+                self._kernel.outbox.send(
+                    peer.member.name,
+                    protocol.HandOver(
+                        self._kernel.term,
+                        peer.member.identity,
+                    ),
+                )
+                return True
+        return False
+
+    def _is_ready(self, peer: progress.Progress) -> bool:
+        return (
+            peer.member in self._kernel.members.learners
+            and peer.writable
+            and peer.match >= self._kernel.commit
+        )
+
+    def _can_lead(self, peer: progress.Progress) -> bool:
+        return (
+            peer.member in self._kernel.members.voters
+            and peer.writable
+            and peer.match == self._kernel.log.last_index
+        )
+
+    def _change(
+        self,
+        members: configuration.Configuration,
+        now: int,
+    ) -> None:
+        self._leadership.append(members, now)
+
+    def _accept(self, request: str) -> None:
+        self._kernel.touched.append(request)
+        self._kernel.outbox.answer(request, messages.ChangeAccepted())
+
+    def _refuse(self, request: str, reason: str) -> None:
+        self._kernel.outbox.answer(request, messages.ProposalRefused(reason))
+
+
+def is_removed(shared: kernel.Kernel) -> bool:
+    """Tell whether this process leads a group it no longer votes in."""
+    return (
+        shared.role == const.ROLE_LEADER
+        and shared.log.changed_at <= shared.commit
+        and not shared.members.is_voter(shared.identity)
+    )
--- a/shallotwharf/components/replica/messages.py
+++ b/shallotwharf/components/replica/messages.py
@@ -70,3 +70,95 @@
     def __init__(self, leader: str, leading: bool) -> None:
         self.leader = leader
         self.leading = leading
+
+
+@messages.register('replica.proposal_refused')
+class ProposalRefused(messages.Message):
+    """The command was not appended and has no effect.
+
+    Attributes:
+        reason: `storage_failed`, `too_large`, `too_many`,
+            `change_in_progress`, `unknown_member` or `last_voter`.
+    """
+
+    __slots__ = ('reason',)
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+@messages.register('replica.snapshot_wanted')
+class SnapshotWanted(messages.Message):
+    """Ask the component that applies commands for its state.
+
+    All commands committed so far were published before.
+    """
+
+    __slots__ = ()
+
+
+@messages.register('replica.snapshot_taken')
+class SnapshotTaken(messages.Message):
+    """The state after applying the log up to `index`.
+
+    Attributes:
+        index: index of the last command that was applied.
+        parts: at least one; each fits into a message.
+    """
+
+    __slots__ = ('index', 'parts')
+
+    def __init__(
+        self,
+        index: int,
+        parts: tuple[messages.Message, ...],
+    ) -> None:
+        self.index = index
+        self.parts = parts
+
+
+@messages.register('replica.snapshot_restored')
+class SnapshotRestored(messages.Message):
+    """Replace the state by that of a snapshot; `index` is applied."""
+
+    __slots__ = ('index', 'parts')
+
+    def __init__(
+        self,
+        index: int,
+        parts: tuple[messages.Message, ...],
+    ) -> None:
+        self.index = index
+        self.parts = parts
+
+
+@messages.register('replica.add_member')
+class AddMember(messages.Message):
+    """Add a running process as learner; it becomes voter once caught up.
+
+    The answer is `ChangeAccepted`, `NotLeader` or `ProposalRefused`.
+    """
+
+    __slots__ = ('request', 'name')
+
+    def __init__(self, request: str, name: str) -> None:
+        self.request = request
+        self.name = name
+
+
+@messages.register('replica.remove_member')
+class RemoveMember(messages.Message):
+    """Remove a voter or learner; the answers are those of `AddMember`."""
+
+    __slots__ = ('request', 'name')
+
+    def __init__(self, request: str, name: str) -> None:
+        self.request = request
+        self.name = name
+
+
+@messages.register('replica.change_accepted')
+class ChangeAccepted(messages.Message):
+    """The change of the group is in the log of the leader."""
+
+    __slots__ = ()
--- /dev/null
+++ b/shallotwharf/components/replica/outbox.py
@@ -0,0 +1,59 @@
+"""Effects of one step of a replica."""
+
+from shallotwharf.components.replica import stored
+from shallotwharf.core import effects, messages, records, storage
+
+
+class Outbox:
+    """Effects of one step in the order they must run.
+
+    Answers that hold whatever happens come first, then all stores, then
+    what may only be seen once the stores are on disk.
+    """
+
+    __slots__ = ('_early', '_state', '_stores', '_late')
+
+    def __init__(self) -> None:
+        self._early: list[effects.Effect] = []
+        self._state: stored.State | None = None
+        self._stores: list[effects.Effect] = []
+        self._late: list[effects.Effect] = []
+
+    def answer_early(self, request: str, reply: messages.Message) -> None:
+        """Answer a request without regard to the stores of this step."""
+        if request:
+            self._early.append(effects.Answer(request, reply))
+
+    def answer(self, request: str, reply: messages.Message) -> None:
+        """Answer a request after the stores."""
+        if request:
+            self._late.append(effects.Answer(request, reply))
+
+    def save_state(self, state: stored.State) -> None:
+        """Store term and vote; the last call of a step counts."""
+        self._state = state
+
+    def store(self, operation: records.Record) -> None:
+        """Store an operation on log or snapshot."""
+        self._stores.append(effects.Store(operation))
+
+    def add(self, effect: effects.Effect) -> None:
+        """Add an effect that runs after the stores."""
+        self._late.append(effect)
+
+    def send(self, peer: str, message: messages.Message) -> None:
+        """Send a message after the stores."""
+        self._late.append(effects.Send(peer, message))
+
+    def take(self) -> list[effects.Effect]:
+        """Return the effects of the step and start the next one."""
+        step = self._early
+        if self._state is not None:
+            step.append(effects.Store(storage.SaveState(self._state)))
+        step.extend(self._stores)
+        step.extend(self._late)
+        self._early = []
+        self._state = None
+        self._stores = []
+        self._late = []
+        return step
--- /dev/null
+++ b/shallotwharf/components/replica/replica.py
@@ -0,0 +1,302 @@
+"""The replicated log of one control process."""
+
+import random
+import types
+import typing
+
+from shallotwharf.components.replica import (
+    configuration,
+    const,
+    duties,
+    elections,
+    following,
+    founding,
+    kernel,
+    leadership,
+    membership,
+    messages,
+    protocol,
+    status,
+)
+from shallotwharf.core import aggregate, effects, storage
+from shallotwharf.core import messages as core_messages
+
+_LeaderMessage: typing.TypeAlias = (
+    protocol.AppendEntries | protocol.InstallSnapshot
+)
+_Reply: typing.TypeAlias = protocol.AppendReply | protocol.InstallReply
+
+
+class Replica(aggregate.Aggregate):
+    """Raft's rules: terms, votes, log, commit index and configuration.
+
+    Source: D. Ongaro, Consensus: Bridging Theory and Practice, 2014, with
+    pre-votes, leases, learners and one change of voters at a time.
+    """
+
+    __slots__ = (
+        '_kernel',
+        '_elections',
+        '_leadership',
+        '_following',
+        '_founding',
+        '_membership',
+        '_duties',
+    )
+
+    name = 'replica'
+    handlers: typing.ClassVar[aggregate.Handlers] = types.MappingProxyType(
+        {
+            core_messages.TimerFired: 'fire_timer',
+            core_messages.StoreFailed: 'recover_store',
+            messages.Propose: 'propose',
+            messages.SnapshotTaken: 'take_snapshot',
+            messages.AddMember: 'add_member',
+            messages.RemoveMember: 'remove_member',
+            protocol.PreVote: 'answer_pre_vote',
+            protocol.RequestVote: 'answer_vote',
+            protocol.VoteReply: 'count_vote',
+            protocol.AppendEntries: 'receive_from_leader',
+            protocol.InstallSnapshot: 'receive_from_leader',
+            protocol.AppendReply: 'receive_reply',
+            protocol.InstallReply: 'receive_reply',
+            protocol.HandOver: 'take_over',
+            protocol.Greet: 'answer_greet',
+            protocol.Greeting: 'receive_greeting',
+        },
+    )
+
+    def __init__(
+        self,
+        process: str,
+        voters: tuple[str, ...],
+        recovered: storage.Recovered,
+        source: random.Random,
+    ) -> None:
+        """Take over what the disk holds.
+
+        Args:
+            process: name of this process.
+            voters: names of the first voters, the same on each of them.
+            recovered: content of the data folder.
+            source: randomness of the election timeouts.
+
+        Raises:
+            CorruptionError: if entries are missing from the log.
+        """
+        self._kernel = kernel.Kernel(process, recovered, source)
+        self._elections = elections.Elections(self._kernel)
+        self._leadership = leadership.Leadership(self._kernel)
+        self._following = following.Following(self._kernel)
+        self._founding = founding.Founding(self._kernel, voters)
+        self._membership = membership.Membership(
+            self._kernel,
+            self._leadership,
+        )
+        self._duties = duties.Duties(
+            self._kernel,
+            self._elections,
+            self._leadership,
+            self._following,
+            self._founding,
+            self._membership,
+        )
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Publish the snapshot and look for a leader."""
+        self._duties.start(now)
+        return self._duties.finish(now)
+
+    def handle(
+        self,
+        message: core_messages.Message,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Apply a message; what the disk refuses is undone as a whole."""
+        if not isinstance(message, core_messages.StoreFailed):
+            self._kernel.begin_step()
+        was_founded = self._kernel.founded
+        getattr(self, self.handlers[type(message)])(message, sender, now)
+        if self._kernel.founded and not was_founded:
+            self._duties.begin(now)
+        return self._duties.finish(now)
+
+    def is_leading(self, now: int) -> bool:
+        """Tell whether this process may answer for the group at `now`."""
+        return self._duties.is_leading(now)
+
+    def read_status(self) -> status.Status:
+        """Return the position of this replica."""
+        return status.read_status(self._kernel)
+
+    def propose(
+        self,
+        message: messages.Propose,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Append a command if this process leads and its disk has room."""
+        refusal = self._duties.find_refusal(message.command, now)
+        if refusal is not None:
+            self._kernel.outbox.answer(message.request, refusal)
+            return
+        if message.request:
+            index = self._kernel.log.last_index + 1
+            self._kernel.pending[index] = message.request
+        self._leadership.append(message.command, now)
+
+    def take_snapshot(
+        self,
+        message: messages.SnapshotTaken,
+        _sender: str,
+        _now: int,
+    ) -> None:
+        """Store the state of the component that applies commands."""
+        if not self._kernel.storage_failed:
+            self._kernel.take_snapshot(message)
+
+    def add_member(
+        self,
+        message: messages.AddMember,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Add a learner if this process leads."""
+        if self._duties.may_change(message.request, now):
+            self._membership.add(message, now)
+
+    def remove_member(
+        self,
+        message: messages.RemoveMember,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Remove a member if this process leads."""
+        if self._duties.may_change(message.request, now):
+            self._membership.remove(message, now)
+
+    def fire_timer(
+        self,
+        message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Do what is due."""
+        self._duties.fire(message.name, now)
+
+    def recover_store(
+        self,
+        _message: core_messages.StoreFailed,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Go back before the step that failed; write nothing for a while."""
+        self._duties.recover_store(now)
+
+    def answer_pre_vote(
+        self,
+        message: protocol.PreVote,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Tell whether the own vote could be had."""
+        self._elections.answer_pre_vote(message, sender, now)
+
+    def answer_vote(
+        self,
+        message: protocol.RequestVote,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Give or refuse the vote of a term."""
+        self._elections.answer_request(message, sender, now)
+
+    def count_vote(
+        self,
+        message: protocol.VoteReply,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Count a vote; lead if the election is won."""
+        if self._elections.count_reply(message, now):
+            self._leadership.start(now)
+
+    def receive_from_leader(
+        self,
+        message: _LeaderMessage,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Follow the leader of the current or a later term."""
+        if message.target != self._kernel.identity:
+            return
+        if message.term < self._kernel.term:
+            self._following.refuse(message, sender)
+            return
+        if message.term > self._kernel.term:
+            if self._kernel.storage_failed:
+                return
+            self._kernel.change_term(message.term)
+        self._kernel.follow(sender)
+        self._kernel.heard_at = now
+        self._elections.reset_timer(now)
+        if isinstance(message, protocol.AppendEntries):
+            self._following.receive_entries(message, sender)
+        else:
+            self._following.receive_part(message, sender)
+
+    def receive_reply(
+        self,
+        message: _Reply,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Take note of a follower's answer."""
+        if message.term > self._kernel.term:
+            self._kernel.change_term(message.term)
+            self._duties.step_down(now)
+            return
+        leads = self._kernel.role == const.ROLE_LEADER
+        if not leads or message.term < self._kernel.term:
+            return
+        if isinstance(message, protocol.AppendReply):
+            self._leadership.receive_reply(message, now)
+        else:
+            self._leadership.receive_part_reply(message, now)
+
+    def take_over(
+        self,
+        message: protocol.HandOver,
+        _sender: str,
+        now: int,
+    ) -> None:
+        """Campaign at once for a leader that gave up its lease."""
+        meant = message.target == self._kernel.identity
+        if not meant or message.term != self._kernel.term:
+            return
+        if self._elections.start_election(now, handed_over=True):
+            self._leadership.start(now)
+
+    def answer_greet(
+        self,
+        message: protocol.Greet,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Tell a process without a configuration what this one has."""
+        self._founding.answer(message, sender)
+        if self.is_leading(now) and not self._kernel.storage_failed:
+            self._membership.receive_greet(
+                configuration.Member(sender, message.identity),
+                now,
+            )
+
+    def receive_greeting(
+        self,
+        message: protocol.Greeting,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Learn what another process has."""
+        self._founding.receive(message, sender, now)
--- /dev/null
+++ b/shallotwharf/components/replica/stored.py
@@ -0,0 +1,62 @@
+"""Records on the disks of the replicas."""
+
+from shallotwharf.components.replica import configuration
+from shallotwharf.core import messages
+
+
+@messages.register('replica.noop')
+class Noop(messages.Message):
+    """First entry of each leader; entries of earlier terms commit by it."""
+
+    __slots__ = ()
+
+
+@messages.register('replica.entry')
+class Entry(messages.Message):
+    """One entry of the log."""
+
+    __slots__ = ('index', 'term', 'command')
+
+    def __init__(
+        self,
+        index: int,
+        term: int,
+        command: messages.Message,
+    ) -> None:
+        self.index = index
+        self.term = term
+        self.command = command
+
+
+@messages.register('replica.state')
+class State(messages.Message):
+    """Current term and the identity of the candidate voted for in it."""
+
+    __slots__ = ('term', 'vote')
+
+    def __init__(self, term: int, vote: str) -> None:
+        self.term = term
+        self.vote = vote
+
+
+@messages.register('replica.snapshot')
+class Snapshot(messages.Message):
+    """Describes a snapshot.
+
+    Attributes:
+        index: last index it stands for.
+        term: term of the entry at that index.
+        members: the configuration in force at that index.
+    """
+
+    __slots__ = ('index', 'term', 'members')
+
+    def __init__(
+        self,
+        index: int,
+        term: int,
+        members: configuration.Configuration,
+    ) -> None:
+        self.index = index
+        self.term = term
+        self.members = members
--- a/shallotwharf/core/dispatcher.py
+++ b/shallotwharf/core/dispatcher.py
@@ -26,7 +26,8 @@
 
     Effects of a message run in order, before the next message is handled.
     A message that an effect produces is queued behind those that wait, so
-    that no aggregate is entered twice at once.
+    that no aggregate is entered twice at once. Only `StoreFailed` is handled
+    next, before any other message.
     """
 
     __slots__ = (
@@ -121,7 +122,7 @@
             except errors.StorageError as error:
                 self._counters.add('storage.failed')
                 logs.write('storage_failed', error=error)
-                self._queue_own(source, messages.StoreFailed(str(error)))
+                self._report_failed_store(source, error)
                 return
 
     def _drain(self) -> None:
@@ -141,6 +142,17 @@
                 receiver.handle(message, sender, self._clock.read()),
             )
 
+    def _report_failed_store(
+        self,
+        source: aggregate.Aggregate,
+        error: errors.StorageError,
+    ) -> None:
+        # Ahead of all that waits: until then the aggregate's state is that
+        # of a store that succeeded.
+        if messages.StoreFailed in source.handlers:
+            failed = messages.StoreFailed(str(error))
+            self._queue.appendleft((source, failed, self.name))
+
     def _queue_own(
         self,
         receiver: aggregate.Aggregate,
