Add the roles, the command line and the path across processes

Cause: the components had no processes around them, so nothing could be applied or called.

Change: control and node roles with their admin addresses, the dev mode, checked settings, the commands check, diff, apply, revert, status, history and explain, the single-file build, and tests that start real processes: an edit reaches all nodes, a second version takes over under load, the leader is killed, equal edits race, faulty input is refused. Links close a connection after 3 s without acknowledgement instead of pinging every 2 s, since 77 open links a node would cost 77 pings in that time. A document nested deeper than the interpreter's stack is refused; it was answered with 500 before.

--- a/Makefile
+++ b/Makefile
@@ -27,5 +27,8 @@
 	$(BIN)/ruff check --fix shallotwharf tests
 	$(BIN)/ruff format shallotwharf tests
 
+binary: $(STAMP)
+	packaging/build.sh $(BIN)/python build/shallotwharf
+
 clean:
 	rm -rf build dist
--- /dev/null
+++ b/shallotwharf/__main__.py
@@ -0,0 +1,34 @@
+"""Entry point of the program."""
+
+import sys
+
+from shallotwharf.cli import app, output
+from shallotwharf.core import errors
+from shallotwharf.roles import const
+
+# Exit status by the class of an error that reaches the command line.
+_EXITS = (
+    (errors.SettingsError, const.EXIT_INVALID),
+    (errors.TablesError, const.EXIT_INVALID),
+)
+
+
+def main() -> None:
+    """Run a command and leave with its exit status."""
+    try:
+        app.app()
+    except (errors.ShallotwharfError, ExceptionGroup) as error:
+        output.print_error(error)
+        sys.exit(_find_exit(error))
+
+
+def _find_exit(error: BaseException) -> int:
+    for single in errors.iterate_errors(error):
+        for error_type, status in _EXITS:
+            if isinstance(single, error_type):
+                return status
+    return const.EXIT_FAILED
+
+
+if __name__ == '__main__':
+    main()
--- a/shallotwharf/adapters/codec.py
+++ b/shallotwharf/adapters/codec.py
@@ -27,6 +27,7 @@
     ValueError,
     TypeError,
     KeyError,
+    RecursionError,
 )
 _STEP: typing.Final = 'codec.decode'
 
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import socket
 import typing
 from collections import abc
 
@@ -19,7 +20,11 @@
 PROTOCOL: typing.Final = 1
 QUEUE_LIMIT: typing.Final = 512
 _OPEN_TIMEOUT_SECONDS: typing.Final = 1.0
-_PING_SECONDS: typing.Final = 2.0
+# Pings only find a peer that nothing is sent to. A peer that does not
+# acknowledge what is sent is found by the timeout of TCP below, so that a
+# healed partition is not followed by a long retransmission pause.
+_PING_SECONDS: typing.Final = 20.0
+_UNACKNOWLEDGED_MS: typing.Final = 3000
 _REOPEN_DELAY_SECONDS: typing.Final = 0.2
 
 Deliver: typing.TypeAlias = abc.Callable[[messages.Message, str], None]
@@ -228,6 +233,7 @@
         peer: _Peer,
         opened: connection.Connection,
     ) -> None:
+        _limit_unacknowledged(opened)
         peer.connections.append(opened)
         if len(peer.connections) == 1:
             self._hand_over(messages.LinkUp(), name)
@@ -267,3 +273,11 @@
     def _hand_over(self, message: messages.Message, name: str) -> None:
         if self._deliver is not None and not self._closing:
             self._deliver(message, name)
+
+
+def _limit_unacknowledged(opened: connection.Connection) -> None:
+    opened.transport.get_extra_info('socket').setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        _UNACKNOWLEDGED_MS,
+    )
--- a/shallotwharf/adapters/waiting.py
+++ b/shallotwharf/adapters/waiting.py
@@ -1,8 +1,13 @@
 """Requests of adapters that wait for the answer of an aggregate."""
 
+import asyncio
+import typing
+import uuid
 from collections import abc
 
-from shallotwharf.core import messages, ports
+from shallotwharf.core import clock, errors, messages, ports
+
+Ask: typing.TypeAlias = abc.Callable[[str], None]
 
 
 class WaitingRequests(ports.Requests):
@@ -33,3 +38,23 @@
         receive = self._receivers.pop(request, None)
         if receive is not None:
             receive(reply)
+
+    async def async_ask(self, ask: Ask, timeout_ms: int) -> messages.Message:
+        """Call `ask` with a new request and return the answer to it.
+
+        Raises:
+            RefusedError: `no_answer` if none came in time.
+        """
+        request = uuid.uuid4().hex
+        future: asyncio.Future[messages.Message] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.expect(request, future.set_result)
+        ask(request)
+        try:
+            async with asyncio.timeout(timeout_ms / clock.SECOND_MS):
+                return await future
+        except TimeoutError:
+            raise errors.RefusedError('no_answer', 'requests.ask') from None
+        finally:
+            self.forget(request)
--- /dev/null
+++ b/shallotwharf/cli/client.py
@@ -0,0 +1,116 @@
+"""HTTP client of the operators' commands."""
+
+import functools
+import json
+import typing
+from collections import abc
+from urllib import parse as url_parse
+
+from tornado import curl_httpclient, httpclient, ioloop
+
+from shallotwharf.core import errors, records
+
+_CONNECT_SECONDS: typing.Final = 2
+_REQUEST_SECONDS: typing.Final = 15
+_STEP: typing.Final = 'client.request'
+_HTTP_UNAVAILABLE: typing.Final = 503
+_HTTP_NO_CONNECTION: typing.Final = 599
+
+
+class Reply(records.Record):
+    """Status and decoded JSON body of an answer."""
+
+    __slots__ = ('status', 'body')
+
+    def __init__(self, status: int, body: dict[str, typing.Any]) -> None:
+        self.status = status
+        self.body = body
+
+
+class Client:
+    """Asks the first of several processes that gives an answer.
+
+    An answer 503 moves on to the next process, since another one may know
+    the leader. A resent edit keeps its request id, so that it runs once.
+    """
+
+    __slots__ = ('_addresses',)
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+
+    def read(
+        self,
+        path: str,
+        query: abc.Mapping[str, object] | None = None,
+    ) -> Reply:
+        """Return the answer to a GET request.
+
+        Raises:
+            LinkError: if no process answers.
+        """
+        encoded = url_parse.urlencode(
+            {
+                name: part
+                for name, part in (query or {}).items()
+                if part is not None
+            },
+        )
+        return self._ask('GET', f'{path}?{encoded}' if encoded else path, None)
+
+    def write(self, path: str, document: dict[str, typing.Any]) -> Reply:
+        """Return the answer to a POST request with a JSON body.
+
+        Raises:
+            LinkError: if no process answers.
+        """
+        return self._ask('POST', path, json.dumps(document))
+
+    def _ask(self, method: str, path: str, body: str | None) -> Reply:
+        failures: list[Exception] = []
+        last: Reply | None = None
+        for address in self._addresses:
+            try:
+                last = _run(method, f'http://{address}{path}', body)
+            except errors.LinkError as error:
+                failures.append(error)
+            if last is not None and last.status != _HTTP_UNAVAILABLE:
+                return last
+        if last is None:
+            raise ExceptionGroup('no process answers', failures)
+        return last
+
+
+def _run(method: str, url: str, body: str | None) -> Reply:
+    reply: Reply = ioloop.IOLoop().run_sync(
+        functools.partial(_async_fetch, method, url, body),
+    )
+    return reply
+
+
+async def _async_fetch(method: str, url: str, body: str | None) -> Reply:
+    fetcher = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+    try:
+        answer = await fetcher.fetch(
+            httpclient.HTTPRequest(
+                url,
+                method=method,
+                body=body,
+                headers={'Content-Type': 'application/json'},
+                connect_timeout=_CONNECT_SECONDS,
+                request_timeout=_REQUEST_SECONDS,
+            ),
+            raise_error=False,
+        )
+    finally:
+        fetcher.close()
+    if answer.code == _HTTP_NO_CONNECTION:
+        raise errors.LinkError(str(answer.error), _STEP, url)
+    try:
+        return Reply(answer.code, json.loads(answer.body))
+    except ValueError as error:
+        raise errors.ProtocolError(
+            f'status {answer.code} without a JSON body',
+            _STEP,
+            url,
+        ) from error
--- /dev/null
+++ b/shallotwharf/cli/options.py
@@ -0,0 +1,63 @@
+"""Options that several commands share."""
+
+import typing
+
+import typer
+
+ControlOption: typing.TypeAlias = typing.Annotated[
+    list[str],
+    typer.Option(
+        '--control',
+        help='Admin address of a control process, HOST:PORT; repeatable.',
+        envvar='SHALLOTWHARF_CONTROL',
+    ),
+]
+JsonOption: typing.TypeAlias = typing.Annotated[
+    bool,
+    typer.Option('--json', help='Print JSON.'),
+]
+RoutesOption: typing.TypeAlias = typing.Annotated[
+    str,
+    typer.Option('--routes', help='File with the table of routes.'),
+]
+PoolsOption: typing.TypeAlias = typing.Annotated[
+    str,
+    typer.Option('--pools', help='File with the table of pools.'),
+]
+OperatorOption: typing.TypeAlias = typing.Annotated[
+    str,
+    typer.Option(
+        '--operator',
+        help='Who makes the change; shown in the history.',
+        envvar='USER',
+    ),
+]
+RequestOption: typing.TypeAlias = typing.Annotated[
+    str,
+    typer.Option(
+        '--request-id',
+        help='UUIDv7 of an earlier try, to learn its outcome.',
+    ),
+]
+BaseOption: typing.TypeAlias = typing.Annotated[
+    int,
+    typer.Option(
+        '--base',
+        help='Version that the change was made on; default: the current one.',
+    ),
+]
+WaitOption: typing.TypeAlias = typing.Annotated[
+    bool,
+    typer.Option('--wait', help='Return when it is in force everywhere.'),
+]
+TimeoutOption: typing.TypeAlias = typing.Annotated[
+    int,
+    typer.Option('--timeout', help='Longest wait in seconds.'),
+]
+SettingsOption: typing.TypeAlias = typing.Annotated[
+    str,
+    typer.Option('--settings', help='Settings file of the process.'),
+]
+
+CURRENT_VERSION: typing.Final = -1
+DEFAULT_TIMEOUT_SECONDS: typing.Final = 30
--- a/shallotwharf/core/identifiers.py
+++ b/shallotwharf/core/identifiers.py
@@ -1,10 +1,30 @@
 """Identifiers that carry their time."""
 
+import random
 import typing
 import uuid
 
 _VERSION: typing.Final = 7
 _TIME_SHIFT_BITS: typing.Final = 80
+_VERSION_SHIFT_BITS: typing.Final = 76
+_RANDOM_A_BITS: typing.Final = 12
+_RANDOM_A_SHIFT_BITS: typing.Final = 64
+_VARIANT: typing.Final = 2
+_VARIANT_SHIFT_BITS: typing.Final = 62
+_RANDOM_B_BITS: typing.Final = 62
+
+
+def make_identifier(wall_now: int, source: random.Random) -> str:
+    """Return a UUIDv7 for a wall time in milliseconds since the epoch.
+
+    Source: RFC 9562, section 5.7.
+    """
+    number = wall_now << _TIME_SHIFT_BITS
+    number |= _VERSION << _VERSION_SHIFT_BITS
+    number |= source.getrandbits(_RANDOM_A_BITS) << _RANDOM_A_SHIFT_BITS
+    number |= _VARIANT << _VARIANT_SHIFT_BITS
+    number |= source.getrandbits(_RANDOM_B_BITS)
+    return str(uuid.UUID(int=number))
 
 
 def read_time(identifier: str) -> int:
--- a/shallotwharf/core/schema.py
+++ b/shallotwharf/core/schema.py
@@ -22,7 +22,7 @@
     """
     try:
         return json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise error_type(f'not JSON: {error}', step, source) from error
 
 
--- /dev/null
+++ b/shallotwharf/roles/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: owns the accepted versions."""
--- /dev/null
+++ b/shallotwharf/roles/control/api.py
@@ -0,0 +1,201 @@
+"""HTTP API of control for operators."""
+
+import typing
+
+from shallotwharf.adapters import admin
+from shallotwharf.components.delivery import feed
+from shallotwharf.components.ledger import ledger
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.replica import replica
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, messages
+from shallotwharf.roles import process
+from shallotwharf.roles.control import edits, proposals, views
+from shallotwharf.roles.settings import model
+
+_HTTP_REDIRECT: typing.Final = 307
+_HTTP_UNAVAILABLE: typing.Final = 503
+
+
+class ControlAggregates:
+    """The aggregates of a control process."""
+
+    __slots__ = ('replica', 'ledger', 'feed')
+
+    def __init__(
+        self,
+        control_replica: replica.Replica,
+        control_ledger: ledger.Ledger,
+        control_feed: feed.Feed,
+    ) -> None:
+        self.replica = control_replica
+        self.ledger = control_ledger
+        self.feed = control_feed
+
+    def list_all(self) -> tuple[aggregate.Aggregate, ...]:
+        """Return all; those that consume events before their sources."""
+        return (self.ledger, self.feed, self.replica)
+
+
+class ControlApi:
+    """Handlers of the admin address by method and path."""
+
+    __slots__ = ('table', '_settings', '_frame', '_aggregates', '_replies')
+
+    def __init__(
+        self,
+        settings: model.ControlSettings,
+        frame: process.Frame,
+        aggregates: ControlAggregates,
+    ) -> None:
+        self._settings = settings
+        self._frame = frame
+        self._aggregates = aggregates
+        self._replies: dict[type[messages.Message], typing.Any] = {
+            ledger_messages.EditAccepted: views.reply_accepted,
+            ledger_messages.EditConflict: views.reply_conflict,
+            ledger_messages.EditRefused: views.reply_refused,
+            replica_messages.NotLeader: self._reply_not_leader,
+            replica_messages.OutcomeUnknown: views.reply_unknown,
+            replica_messages.ProposalRefused: views.reply_not_proposed,
+        }
+        self.table: admin.AdminTable = {
+            ('GET', '/health'): self.async_read_health,
+            ('GET', '/metrics'): self.async_read_metrics,
+            ('GET', '/v1/tables'): self.async_read_tables,
+            ('GET', '/v1/status'): self.async_read_status,
+            ('GET', '/v1/history'): self.async_read_history,
+            ('POST', '/v1/edits'): self.async_edit,
+            ('POST', '/v1/reverts'): self.async_revert,
+        }
+
+    async def async_read_health(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Tell what this replica knows of itself and the others."""
+        return views.reply_health(
+            self._settings.own.name,
+            self._aggregates.replica.read_status(),
+            self._aggregates.ledger.current.number,
+        )
+
+    async def async_read_metrics(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Return all counters as text."""
+        return admin.AdminReply(views.HTTP_OK, self._frame.counters.render())
+
+    async def async_read_tables(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Return the tables of a version, the current one by default."""
+        if 'number' not in request.query:
+            reply = self._check_leading()
+            if reply is not None:
+                return reply
+        found = self._find_version(request)
+        if found is None:
+            return views.reply_unknown_version()
+        return views.reply_tables(found)
+
+    async def async_read_status(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Tell where a version is in force."""
+        reply = self._check_leading()
+        if reply is not None:
+            return reply
+        found = self._find_version(request)
+        if found is None:
+            return views.reply_unknown_version()
+        status = self._aggregates.replica.read_status()
+        where = self._aggregates.feed.summarize(
+            found.number,
+            self._frame.clock.read(),
+        )
+        return admin.AdminReply(
+            views.HTTP_OK,
+            {'leader': status.leader} | views.describe_summary(where),
+        )
+
+    async def async_read_history(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Return the accepted versions, newest first."""
+        reply = self._check_leading()
+        if reply is not None:
+            return reply
+        rows = reversed(self._aggregates.ledger.list_history())
+        return admin.AdminReply(
+            views.HTTP_OK,
+            {'versions': [views.describe_row(row) for row in rows]},
+        )
+
+    async def async_edit(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Make two tables the next version."""
+        return await self._async_propose(
+            edits.read_edit(request.document, self._frame.clock.read_wall()),
+        )
+
+    async def async_revert(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Make a new version with the tables of an old one."""
+        return await self._async_propose(
+            edits.read_revert(request.document, self._frame.clock.read_wall()),
+        )
+
+    async def _async_propose(
+        self,
+        command: messages.Message,
+    ) -> admin.AdminReply:
+        outcome = await proposals.async_propose(self._frame, command)
+        reply: admin.AdminReply = self._replies[type(outcome)](outcome)
+        return reply
+
+    def _check_leading(self) -> admin.AdminReply | None:
+        """Return a reply that names the leader unless this process leads."""
+        if self._aggregates.replica.is_leading(self._frame.clock.read()):
+            return None
+        status = self._aggregates.replica.read_status()
+        return self._reply_not_leader(
+            replica_messages.NotLeader(status.leader),
+        )
+
+    def _reply_not_leader(
+        self,
+        outcome: replica_messages.NotLeader,
+    ) -> admin.AdminReply:
+        others = (
+            peer
+            for peer in self._settings.control
+            if peer.name != self._settings.own.name
+        )
+        for peer in others:
+            if peer.name == outcome.leader:
+                return admin.AdminReply(
+                    _HTTP_REDIRECT,
+                    {'reason': 'not_leader', 'leader': peer.name},
+                    f'http://{peer.host}:{peer.admin_port}',
+                )
+        return admin.AdminReply(_HTTP_UNAVAILABLE, {'reason': 'no_leader'})
+
+    def _find_version(
+        self,
+        request: admin.AdminRequest,
+    ) -> version.Version | None:
+        current = self._aggregates.ledger.current
+        number = request.query.get('number', str(current.number))
+        if not number.isdecimal():
+            return None
+        return self._aggregates.ledger.find_version(int(number))
--- /dev/null
+++ b/shallotwharf/roles/control/views.py
@@ -0,0 +1,174 @@
+"""JSON documents in which control answers operators."""
+
+import datetime
+import typing
+
+from shallotwharf.adapters import admin
+from shallotwharf.components.delivery import summary
+from shallotwharf.components.ledger import history
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.replica import status as replica_status
+from shallotwharf.components.tables import document, version
+from shallotwharf.core import clock
+
+HTTP_OK: typing.Final = 200
+_HTTP_NOT_FOUND: typing.Final = 404
+_HTTP_CONFLICT: typing.Final = 409
+_HTTP_REFUSED: typing.Final = 422
+_HTTP_UNAVAILABLE: typing.Final = 503
+_NUMBER: typing.Final = 'number'
+_REASON: typing.Final = 'reason'
+
+
+def reply_health(
+    name: str,
+    status: replica_status.Status,
+    number: int,
+) -> admin.AdminReply:
+    """Return what a replica knows of itself and the others."""
+    return admin.AdminReply(
+        HTTP_OK,
+        {
+            'name': name,
+            'leader': status.leader,
+            'term': status.term,
+            'commit': status.commit,
+            'last_index': status.last_index,
+            'voters': [voter.name for voter in status.members.voters],
+            'learners': [learner.name for learner in status.members.learners],
+            'storage_failed': status.storage_failed,
+            _NUMBER: number,
+        },
+    )
+
+
+def reply_tables(found: version.Version) -> admin.AdminReply:
+    """Return the tables of a version."""
+    routes, pools = document.write_tables(found.tables)
+    return admin.AdminReply(
+        HTTP_OK,
+        {
+            _NUMBER: found.number,
+            'digest': found.compute_digest().hex(),
+            'routes': routes,
+            'pools': pools,
+        },
+    )
+
+
+def reply_unknown_version() -> admin.AdminReply:
+    """Return the answer for a version that is not in the history."""
+    return admin.AdminReply(_HTTP_NOT_FOUND, {_REASON: 'unknown_version'})
+
+
+def reply_accepted(
+    outcome: ledger_messages.EditAccepted,
+) -> admin.AdminReply:
+    """Return the answer to an accepted edit."""
+    return admin.AdminReply(
+        HTTP_OK,
+        {
+            'result': 'accepted',
+            _NUMBER: outcome.number,
+            'digest': outcome.digest.hex(),
+        },
+    )
+
+
+def reply_conflict(
+    outcome: ledger_messages.EditConflict,
+) -> admin.AdminReply:
+    """Return the answer to an edit that lost a race."""
+    return admin.AdminReply(
+        _HTTP_CONFLICT,
+        {
+            _REASON: 'conflict',
+            'current': outcome.current,
+            'winner': outcome.winner,
+            'operator': outcome.operator,
+        },
+    )
+
+
+def reply_refused(outcome: ledger_messages.EditRefused) -> admin.AdminReply:
+    """Return the answer to a refused edit."""
+    return admin.AdminReply(
+        _HTTP_REFUSED,
+        {_REASON: outcome.reason, 'detail': outcome.detail},
+    )
+
+
+def reply_unknown(
+    _outcome: replica_messages.OutcomeUnknown,
+) -> admin.AdminReply:
+    """Return the answer when the outcome of an edit is unknown."""
+    return admin.AdminReply(_HTTP_UNAVAILABLE, {_REASON: 'outcome_unknown'})
+
+
+def reply_not_proposed(
+    outcome: replica_messages.ProposalRefused,
+) -> admin.AdminReply:
+    """Return the answer to an edit that surely has no effect."""
+    return admin.AdminReply(
+        _HTTP_UNAVAILABLE,
+        {_REASON: outcome.reason, 'not_run': True},
+    )
+
+
+def describe_summary(where: summary.Summary) -> dict[str, typing.Any]:
+    """Return where a version is in force."""
+    return {
+        _NUMBER: where.number,
+        'everywhere': where.everywhere,
+        'age_ms': where.age_ms,
+        'nodes': sum(part.members for part in where.datacentres),
+        'active': sum(part.in_force for part in where.datacentres),
+        'datacentres': [
+            {
+                'name': part.datacentre,
+                'known': part.known,
+                'nodes': part.members,
+                'active': part.in_force,
+                'age_ms': part.age_ms,
+            }
+            for part in where.datacentres
+        ],
+        'lacking': [
+            f'datacentre={part.datacentre} {_describe_lacking(part)}'
+            for part in where.datacentres
+            if not part.known or part.in_force < part.members
+        ],
+    }
+
+
+def _describe_lacking(part: summary.DatacentreSummary) -> str:
+    if not part.known:
+        return 'no report'
+    nodes = ' '.join(
+        f'{status.name}:{status.active}:{status.reason or "pending"}'
+        for status in part.lacking
+    )
+    return f'nodes={nodes}'
+
+
+def describe_row(row: history.HistoryRow) -> dict[str, typing.Any]:
+    """Return a row of the history."""
+    return {
+        _NUMBER: row.number,
+        'digest': row.digest.hex(),
+        'change': row.kind,
+        'operator': row.operator,
+        'request_id': row.request_id,
+        'at': _format_time(row.at),
+        'detail': row.detail,
+    }
+
+
+def _format_time(wall_ms: int | None) -> str:
+    if wall_ms is None:
+        return ''
+    return datetime.datetime.fromtimestamp(
+        wall_ms / clock.SECOND_MS,
+        datetime.UTC,
+    ).isoformat(timespec='seconds')
--- /dev/null
+++ b/shallotwharf/roles/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node role: serves calls by the version that control accepted."""
--- /dev/null
+++ b/shallotwharf/roles/node/addresses.py
@@ -0,0 +1,56 @@
+"""Where peers listen, from what membership and versions say."""
+
+from shallotwharf.adapters import links
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.tables import messages as tables
+from shallotwharf.core import aggregate, effects
+
+
+class AddressBook(aggregate.Aggregate):
+    """Gives the links the addresses of members and record holders."""
+
+    __slots__ = ('_links',)
+
+    name = 'addresses'
+    handlers = {
+        membership.MembersChanged: 'learn_members',
+        tables.VersionApplied: 'learn_holders',
+    }
+
+    def __init__(self, process_links: links.WebsocketLinks) -> None:
+        self._links = process_links
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for events."""
+        return []
+
+    def learn_members(
+        self,
+        message: membership.MembersChanged,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Learn the addresses of the own data centre."""
+        for member in message.members:
+            self._links.set_address(
+                member.name,
+                member.host,
+                member.link_port,
+            )
+        return []
+
+    def learn_holders(
+        self,
+        message: tables.VersionApplied,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Learn the addresses of record holders in all data centres."""
+        for group in message.applied.holders:
+            for holder in group.members:
+                self._links.set_address(
+                    holder.name,
+                    holder.host,
+                    holder.port,
+                )
+        return []
--- /dev/null
+++ b/shallotwharf/roles/node/api.py
@@ -0,0 +1,112 @@
+"""Admin address of a node."""
+
+import typing
+
+from shallotwharf.adapters import admin
+from shallotwharf.components.call import caller, explain
+from shallotwharf.components.delivery import subscriber
+from shallotwharf.components.upstream import gate
+from shallotwharf.core import aggregate
+from shallotwharf.roles import process
+from shallotwharf.roles.settings import model
+
+_OK: typing.Final = 200
+_NOT_FOUND: typing.Final = 404
+
+
+class NodeAggregates:
+    """The aggregates of a node; `others` need no direct access."""
+
+    __slots__ = ('caller', 'gate', 'subscriber', 'others')
+
+    def __init__(
+        self,
+        node_caller: caller.Caller,
+        node_gate: gate.Gate,
+        node_subscriber: subscriber.Subscriber,
+        others: tuple[aggregate.Aggregate, ...],
+    ) -> None:
+        self.caller = node_caller
+        self.gate = node_gate
+        self.subscriber = node_subscriber
+        self.others = others
+
+    def list_all(self) -> tuple[aggregate.Aggregate, ...]:
+        """Return all; those that consume events before their sources."""
+        return (self.caller, self.subscriber, *self.others, self.gate)
+
+
+class NodeApi:
+    """Handlers of the admin address by method and path."""
+
+    __slots__ = ('table', '_settings', '_frame', '_aggregates')
+
+    def __init__(
+        self,
+        settings: model.NodeSettings,
+        frame: process.Frame,
+        aggregates: NodeAggregates,
+    ) -> None:
+        self._settings = settings
+        self._frame = frame
+        self._aggregates = aggregates
+        self.table: admin.AdminTable = {
+            ('GET', '/health'): self.async_read_health,
+            ('GET', '/metrics'): self.async_read_metrics,
+            ('GET', '/v1/explain'): self.async_explain,
+        }
+
+    async def async_read_health(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Tell who the node is and which version is in force here."""
+        active = self._aggregates.subscriber.active
+        return admin.AdminReply(
+            _OK,
+            {
+                'name': self._settings.name,
+                'datacentre': self._settings.datacentre,
+                'number': active.number,
+                'digest': active.compute_digest().hex(),
+            },
+        )
+
+    async def async_read_metrics(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Return all counters as text."""
+        return admin.AdminReply(_OK, self._frame.counters.render())
+
+    async def async_explain(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Tell what the node would do with a request."""
+        found = self._aggregates.caller.explain(
+            request.query.get('method', 'GET'),
+            request.query.get('path', '/'),
+            self._frame.clock.read(),
+        )
+        if not found.route:
+            return admin.AdminReply(_NOT_FOUND, {'reason': 'no_route'})
+        return admin.AdminReply(_OK, _describe(found))
+
+
+def _describe(found: explain.Explanation) -> dict[str, typing.Any]:
+    return {
+        'route': found.route,
+        'pool': found.pool,
+        'candidates': [
+            {
+                'node': candidate.node,
+                'version': candidate.version,
+                'datacentre': candidate.datacentre,
+                'latency_ms': candidate.latency_ms,
+                'spare': candidate.spare,
+                'reason': candidate.reason,
+            }
+            for candidate in found.candidates
+        ],
+    }
--- /dev/null
+++ b/shallotwharf/roles/node/process.py
@@ -0,0 +1,144 @@
+"""A node: calls, gate, membership, delivery, moves and once-only records."""
+
+import typing
+import uuid
+
+from shallotwharf.adapters import admin, exchange, inbound, upstreams
+from shallotwharf.components.call import caller
+from shallotwharf.components.delivery import messages as delivery
+from shallotwharf.components.delivery import relay, subscriber
+from shallotwharf.components.membership import membership
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.upstream import gate
+from shallotwharf.components.upstream import messages as upstream_messages
+from shallotwharf.components.upstream import settings as gate_settings
+from shallotwharf.core import callports, logs
+from shallotwharf.roles import callpath, process
+from shallotwharf.roles.node import addresses, api
+from shallotwharf.roles.settings import model
+
+# Longest time that a shutdown waits for calls in flight.
+DRAIN_LIMIT_SECONDS: typing.Final = 30.0
+
+
+class NodeProcess(process.Process):
+    """Serves callers and the upstream beside it."""
+
+    __slots__ = (
+        '_settings',
+        '_frame',
+        '_aggregates',
+        '_services',
+        '_server',
+        '_admin',
+    )
+
+    def __init__(self, settings: model.NodeSettings) -> None:
+        self._settings = settings
+        self._frame = process.Frame(
+            settings.name,
+            settings.host,
+            settings.link_port,
+        )
+        self._aggregates = _build_aggregates(settings, self._frame)
+        self._services = _build_services(self._frame, self._aggregates)
+        self._server = inbound.CallServer(self._services)
+        self._admin = admin.AdminServer(
+            settings.host,
+            settings.admin_port,
+            api.NodeApi(settings, self._frame, self._aggregates).table,
+            upstreams.build_rules(
+                callpath.DispatchedRegistry(self._frame.dispatcher),
+            ),
+        )
+
+    async def async_start(self) -> None:
+        """Join the data centre, then accept calls."""
+        set_address = self._frame.links.set_address
+        for peer in self._settings.control:
+            set_address(peer.name, peer.host, peer.link_port)
+        for seed in self._settings.seeds:
+            set_address(seed.name, seed.host, seed.link_port)
+        self._admin.listen()
+        await self._frame.async_start(*self._aggregates.list_all())
+        self._server.listen_at(self._settings.host, self._settings.call_port)
+        logs.write(
+            'node_started',
+            name=self._settings.name,
+            calls=f'{self._settings.host}:{self._settings.call_port}',
+        )
+
+    async def async_stop(self) -> None:
+        """Refuse new work, finish what runs, then leave the members."""
+        own = self._frame.name
+        dispatcher = self._frame.dispatcher
+        dispatcher.deliver(upstream_messages.DrainRequested(), own)
+        finished = await self._server.async_close(DRAIN_LIMIT_SECONDS)
+        logs.write('calls_finished', all=finished)
+        dispatcher.deliver(member_messages.Leave(), own)
+        await self._admin.async_close()
+        await self._frame.links.async_close()
+
+
+def _build_aggregates(
+    settings: model.NodeSettings,
+    frame: process.Frame,
+) -> api.NodeAggregates:
+    started_at = frame.clock.read_wall()
+    member = member_messages.Member(
+        settings.name,
+        settings.datacentre,
+        settings.region,
+        settings.host,
+        settings.link_port,
+        settings.call_port,
+    )
+    control = tuple(
+        delivery.ControlProcess(peer.name, peer.datacentre, peer.region)
+        for peer in settings.control
+    )
+    names = tuple(peer.name for peer in settings.control)
+    return api.NodeAggregates(
+        caller.Caller(
+            member,
+            uuid.uuid4().hex[:8],
+            frame.random,
+            callports.NullObserver(),
+        ),
+        gate.Gate(
+            member,
+            gate_settings.GateSettings(),
+            callports.EmptyPoisonList(),
+            started_at,
+        ),
+        subscriber.Subscriber(member, control, frame.random),
+        (
+            addresses.AddressBook(frame.links),
+            relay.Relay(member, control, frame.random),
+            membership.Membership(
+                member,
+                started_at,
+                names + tuple(seed.name for seed in settings.seeds),
+                frame.random,
+            ),
+        ),
+    )
+
+
+def _build_services(
+    frame: process.Frame,
+    aggregates: api.NodeAggregates,
+) -> exchange.Services:
+    return callpath.build_services(
+        frame.dispatcher,
+        aggregates.caller,
+        aggregates.gate,
+        frame.requests,
+        frame.clock,
+        frame.counters,
+    )
+
+
+def run(settings: model.NodeSettings) -> None:
+    """Run a node until it is told to stop."""
+    process.run(lambda: NodeProcess(settings), settings.log_level)
--- /dev/null
+++ b/shallotwharf/roles/process.py
@@ -0,0 +1,118 @@
+"""What all processes share: their adapters and their life."""
+
+import abc
+import asyncio
+import random
+import signal
+from collections import abc as collections_abc
+
+from shallotwharf.adapters import links, timers, waiting
+from shallotwharf.core import (
+    aggregate,
+    clock,
+    counters,
+    dispatcher,
+    logs,
+    ports,
+)
+
+
+class Frame:
+    """Adapters and dispatcher of one process; must be made on its loop."""
+
+    __slots__ = (
+        'name',
+        'clock',
+        'random',
+        'counters',
+        'links',
+        'timers',
+        'requests',
+        'dispatcher',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        link_port: int,
+        storage: ports.Storage | None = None,
+    ) -> None:
+        self.name = name
+        self.clock: clock.Clock = clock.SystemClock()
+        self.random: random.Random = random.SystemRandom()
+        self.counters = counters.Counters()
+        self.links = links.WebsocketLinks(
+            name,
+            host,
+            link_port,
+            self.counters,
+        )
+        self.timers = timers.LoopTimers(self.clock)
+        self.requests = waiting.WaitingRequests()
+        self.dispatcher = dispatcher.Dispatcher(
+            name,
+            self.clock,
+            self.links,
+            storage,
+            self.timers,
+            self.requests,
+            self.counters,
+        )
+        self.links.connect(self.dispatcher.deliver)
+        self.timers.connect(self.dispatcher.fire_timer)
+
+    async def async_start(self, *aggregates: aggregate.Aggregate) -> None:
+        """Listen for peers, then start the aggregates.
+
+        Raises:
+            LinkError: if the address cannot be bound.
+        """
+        await self.links.async_listen()
+        self.dispatcher.start(*aggregates)
+
+
+class Process(abc.ABC):
+    """A role that can be started and stopped on the running loop."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def async_start(self) -> None:
+        """Start.
+
+        Raises:
+            ShallotwharfError: if it cannot start; nothing is left running.
+        """
+
+    @abc.abstractmethod
+    async def async_stop(self) -> None:
+        """Stop without cutting what is in flight."""
+
+
+def run(
+    make_process: collections_abc.Callable[[], Process],
+    log_level: str,
+) -> None:
+    """Run a process until SIGTERM or SIGINT, then stop it gracefully.
+
+    Raises:
+        ShallotwharfError: if it cannot start.
+    """
+    logs.configure(log_level)
+    asyncio.run(_async_run(make_process))
+
+
+async def _async_run(
+    make_process: collections_abc.Callable[[], Process],
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    process = make_process()
+    await process.async_start()
+    await stopping.wait()
+    logs.write('stopping')
+    await process.async_stop()
+    logs.write('stopped')
--- /dev/null
+++ b/shallotwharf/roles/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes."""
--- /dev/null
+++ b/shallotwharf/roles/settings/model.py
@@ -0,0 +1,162 @@
+"""Settings of the processes after the checks."""
+
+from shallotwharf.core import records
+
+
+class ControlPeer(records.Record):
+    """A control process as others see it."""
+
+    __slots__ = (
+        'name',
+        'datacentre',
+        'region',
+        'host',
+        'link_port',
+        'admin_port',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        datacentre: str,
+        region: str,
+        host: str,
+        link_port: int,
+        admin_port: int,
+    ) -> None:
+        self.name = name
+        self.datacentre = datacentre
+        self.region = region
+        self.host = host
+        self.link_port = link_port
+        self.admin_port = admin_port
+
+
+class Seed(records.Record):
+    """A node that a new node asks first."""
+
+    __slots__ = ('name', 'host', 'link_port')
+
+    def __init__(self, name: str, host: str, link_port: int) -> None:
+        self.name = name
+        self.host = host
+        self.link_port = link_port
+
+
+class ControlSettings(records.Record):
+    """Settings of a control process.
+
+    Attributes:
+        own: this process; one of `control`.
+        control: all control processes.
+        datacentres: those whose nodes must have a version before it counts
+            as in force everywhere.
+        data_folder: folder for the state of this process.
+        log_level: least severe level that is logged.
+    """
+
+    __slots__ = ('own', 'control', 'datacentres', 'data_folder', 'log_level')
+
+    def __init__(
+        self,
+        own: ControlPeer,
+        control: tuple[ControlPeer, ...],
+        datacentres: tuple[str, ...],
+        data_folder: str,
+        log_level: str,
+    ) -> None:
+        self.own = own
+        self.control = control
+        self.datacentres = datacentres
+        self.data_folder = data_folder
+        self.log_level = log_level
+
+
+class NodeSettings(records.Record):
+    """Settings of a node.
+
+    Attributes:
+        name, datacentre, region: who and where it is.
+        host: IP number for all its ports.
+        link_port, call_port, admin_port: for processes, callers, operators.
+        control: the control processes.
+        seeds: nodes that are asked for the members first.
+        log_level: least severe level that is logged.
+    """
+
+    __slots__ = (
+        'name',
+        'datacentre',
+        'region',
+        'host',
+        'link_port',
+        'call_port',
+        'admin_port',
+        'control',
+        'seeds',
+        'log_level',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        datacentre: str,
+        region: str,
+        host: str,
+        link_port: int,
+        call_port: int,
+        admin_port: int,
+        control: tuple[ControlPeer, ...],
+        seeds: tuple[Seed, ...],
+        log_level: str,
+    ) -> None:
+        self.name = name
+        self.datacentre = datacentre
+        self.region = region
+        self.host = host
+        self.link_port = link_port
+        self.call_port = call_port
+        self.admin_port = admin_port
+        self.control = control
+        self.seeds = seeds
+        self.log_level = log_level
+
+
+class UpstreamSettings(records.Record):
+    """A sample upstream of the `dev` mode."""
+
+    __slots__ = ('node', 'port', 'service', 'version', 'slots')
+
+    def __init__(
+        self,
+        node: str,
+        port: int,
+        service: str,
+        version: str,
+        slots: int,
+    ) -> None:
+        self.node = node
+        self.port = port
+        self.service = service
+        self.version = version
+        self.slots = slots
+
+
+class DevSettings(records.Record):
+    """Settings of the `dev` mode: several processes on one loop."""
+
+    __slots__ = ('control', 'nodes', 'upstreams', 'routes', 'pools')
+
+    def __init__(
+        self,
+        control: ControlSettings,
+        nodes: tuple[NodeSettings, ...],
+        upstreams: tuple[UpstreamSettings, ...],
+        routes: str,
+        pools: str,
+    ) -> None:
+        self.control = control
+        self.nodes = nodes
+        self.upstreams = upstreams
+        self.routes = routes
+        self.pools = pools
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -49,6 +49,11 @@
         codec.decode(cbor2.dumps(raw))
 
 
+def test_deep_nesting_is_refused():
+    with pytest.raises(errors.ProtocolError):
+        codec.decode(b'\x81' * 100_000)
+
+
 def test_huge_message_is_refused():
     with pytest.raises(errors.ProtocolError, match='more than'):
         codec.decode(bytes(codec.MAX_MESSAGE_BYTES + 1))
--- /dev/null
+++ b/tests/processes/processes.py
@@ -0,0 +1,181 @@
+"""Real processes of the program on loopback, for tests."""
+
+import contextlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+HOST = '127.0.0.1'
+
+
+def find_ports(count):
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+def request(port, path, method='GET', body=None, headers=None):
+    """Return status and body; status 0 without a connection."""
+    sent = urllib.request.Request(
+        f'http://{HOST}:{port}{path}',
+        data=body,
+        method=method,
+        headers=headers or {},
+    )
+    try:
+        with urllib.request.urlopen(sent, timeout=10) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+    except OSError:
+        return 0, b''
+
+
+def wait_until(check, limit_seconds=20):
+    deadline = time.monotonic() + limit_seconds
+    while not check():
+        assert time.monotonic() < deadline, 'not done in time'
+        time.sleep(0.05)
+
+
+def run_program(*arguments):
+    """Run a command; return its exit status, output and errors."""
+    finished = subprocess.run(
+        [sys.executable, '-m', 'shallotwharf', *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    return finished.returncode, finished.stdout, finished.stderr
+
+
+class Site:
+    """Control processes and nodes in data centres, each its own process."""
+
+    def __init__(self, folder: pathlib.Path, datacentres, control_count=3):
+        self.folder = folder
+        self.running = {}
+        self.control = []
+        for number in range(control_count):
+            link, admin = find_ports(2)
+            self.control.append(
+                {
+                    'name': f'control-{number}',
+                    'datacentre': f'dc-{number}',
+                    'region': 'west',
+                    'host': HOST,
+                    'link_port': link,
+                    'admin_port': admin,
+                }
+            )
+        self.nodes = {}
+        for name, datacentre in datacentres.items():
+            link, call, admin = find_ports(3)
+            self.nodes[name] = {
+                'name': name,
+                'datacentre': datacentre,
+                'region': 'west',
+                'host': HOST,
+                'link_port': link,
+                'call_port': call,
+                'admin_port': admin,
+                'control': self.control,
+            }
+        first = next(iter(self.nodes.values()))
+        for node in self.nodes.values():
+            if node is not first:
+                node['seeds'] = [
+                    {key: first[key] for key in ('name', 'host', 'link_port')}
+                ]
+
+    def start_all(self):
+        for peer in self.control:
+            self.start_control(peer['name'])
+        for name in self.nodes:
+            self.start_node(name)
+
+    def start_control(self, name):
+        datacentres = sorted(
+            {node['datacentre'] for node in self.nodes.values()}
+        )
+        self._start_role(
+            'control',
+            name,
+            {
+                'name': name,
+                'data_folder': str(self.folder / f'{name}-data'),
+                'control': self.control,
+                'datacentres': datacentres,
+            },
+        )
+
+    def start_node(self, name):
+        self._start_role('node', name, self.nodes[name])
+
+    def start_sample(self, node, service, version, **options):
+        admin = f'{HOST}:{self.nodes[node]["admin_port"]}'
+        arguments = ['--admin', admin, '--service', service]
+        arguments += ['--version', version]
+        for option, value in options.items():
+            arguments += [f'--{option.replace("_", "-")}', str(value)]
+        self._start(f'sample-{node}', 'sample', *arguments)
+
+    def run_command(self, *arguments):
+        """Run a command against control; return status, output, errors."""
+        addresses = []
+        for peer in self.control:
+            addresses += ['--control', f'{HOST}:{peer["admin_port"]}']
+        return run_program(*arguments, *addresses)
+
+    def write_tables(self, routes, pools):
+        paths = []
+        for table, rows in (('routes', routes), ('pools', pools)):
+            path = self.folder / f'{table}.json'
+            path.write_text(json.dumps({table: rows}))
+            paths += [f'--{table}', str(path)]
+        return paths
+
+    def find_leader(self):
+        for peer in self.control:
+            status, body = request(peer['admin_port'], '/health')
+            if status == 200 and json.loads(body)['leader']:
+                return json.loads(body)['leader']
+        return ''
+
+    def call(self, node, path, **options):
+        return request(self.nodes[node]['call_port'], path, **options)
+
+    def stop(self, name, signal_number=signal.SIGTERM):
+        process = self.running.pop(name)
+        process.send_signal(signal_number)
+        return process.wait(timeout=40)
+
+    def stop_all(self):
+        for process in self.running.values():
+            process.kill()
+        for process in self.running.values():
+            process.wait()
+
+    def read_log(self, name):
+        return (self.folder / f'{name}.log').read_text()
+
+    def _start_role(self, role, name, settings):
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        self._start(name, role, '--settings', str(path))
+
+    def _start(self, name, *arguments):
+        with open(self.folder / f'{name}.log', 'ab') as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, '-m', 'shallotwharf', *arguments],
+                stdout=log,
+                stderr=log,
+            )
