Prove the log under combined faults

Two faults showed: with all disks full the leader handed over to a follower that could not write, and a removed voter could not be added again. Change: state machine over three and five processes with real disks, one test for each fault; a leader with a failed disk hands over only to a follower that wrote to its disk since; a process without a leader shows its disk to the others.

--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -28,7 +28,7 @@
     commands carry.
     """
 
-    __slots__ = ('_history', '_book', '_applied')
+    __slots__ = ('_history', '_book', '_applied', '_part_bytes')
 
     name = 'ledger'
     handlers: typing.ClassVar[aggregate.Handlers] = types.MappingProxyType(
@@ -39,7 +39,9 @@
         },
     )
 
-    def __init__(self) -> None:
+    def __init__(self, part_bytes: int = const.PART_BYTES) -> None:
+        """Start empty; parts of snapshots get about `part_bytes` each."""
+        self._part_bytes = part_bytes
         self._history = history.History()
         self._book = requests.RequestBook()
         self._applied = 0
@@ -98,7 +100,11 @@
         _now: int,
     ) -> list[effects.Effect]:
         """Publish the whole state."""
-        parts = snapshot.build_parts(self._history, self._book)
+        parts = snapshot.build_parts(
+            self._history,
+            self._book,
+            self._part_bytes,
+        )
         return [
             effects.Publish(
                 replica_messages.SnapshotTaken(self._applied, parts),
--- a/shallotwharf/components/ledger/snapshot.py
+++ b/shallotwharf/components/ledger/snapshot.py
@@ -1,6 +1,6 @@
 """The whole state of the ledger in parts that fit into messages."""
 
-from shallotwharf.components.ledger import const, history, requests
+from shallotwharf.components.ledger import history, requests
 from shallotwharf.components.tables import version
 from shallotwharf.core import errors, messages, sizes
 
@@ -50,6 +50,7 @@
 def build_parts(
     versions: history.History,
     book: requests.RequestBook,
+    part_bytes: int,
 ) -> tuple[messages.Message, ...]:
     """Return the state in parts."""
     base = SnapshotBase(
@@ -59,9 +60,9 @@
     )
     revisions = sizes.split_batches(
         versions.list_revisions(),
-        const.PART_BYTES,
+        part_bytes,
     )
-    answered = sizes.split_batches(book.list_records(), const.PART_BYTES)
+    answered = sizes.split_batches(book.list_records(), part_bytes)
     return (
         base,
         *(SnapshotRevisions(batch) for batch in revisions),
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -17,10 +17,10 @@
 # How often a failed disk is tried again.
 PROBE_MS: typing.Final = 1000
 
-# A snapshot is taken after so many entries; a part of the log before it is
-# kept for followers that lag a little.
+# A snapshot is taken after so many entries; half as many before it are kept
+# for followers that lag a little.
 SNAPSHOT_ENTRIES: typing.Final = 256
-KEPT_ENTRIES: typing.Final = 128
+KEPT_FRACTION: typing.Final = 2
 
 BATCH_ENTRIES: typing.Final = 64
 BATCH_BYTES: typing.Final = 524_288
--- a/shallotwharf/components/replica/duties.py
+++ b/shallotwharf/components/replica/duties.py
@@ -118,6 +118,7 @@
         """
         led = self._kernel.undo()
         self._kernel.storage_failed = True
+        self._kernel.failed_at = now
         self._kernel.snapshot_wanted = False
         self._published = None
         self._following.reset()
@@ -147,6 +148,8 @@
     def _campaign(self, now: int) -> None:
         if self._kernel.role == const.ROLE_LEADER:
             return
+        # Lets the leader know this process if it was removed meanwhile.
+        self._founding.introduce()
         if self._elections.start_pre_vote(now):
             self._leadership.start(now)
 
--- a/shallotwharf/components/replica/following.py
+++ b/shallotwharf/components/replica/following.py
@@ -57,6 +57,8 @@
             )
             return
         index = message.previous_index
+        if message.probe and not self._kernel.storage_failed:
+            self._kernel.change_term(self._kernel.term, self._kernel.vote)
         if not self._kernel.storage_failed:
             index += len(message.entries)
             self._append_new(message.entries)
--- a/shallotwharf/components/replica/founding.py
+++ b/shallotwharf/components/replica/founding.py
@@ -50,13 +50,18 @@
         """Ask all known processes; found the group if that is due."""
         if self._kernel.members.is_member(self._kernel.identity):
             return
-        for name in sorted(self._known - {self._kernel.name}):
+        self.introduce()
+        self.arm_timer(now)
+        self._found(now)
+
+    def introduce(self) -> None:
+        """Show the own disk to all known processes."""
+        names = {member.name for member in self._kernel.members.list_members()}
+        for name in sorted((names | self._known) - {self._kernel.name}):
             self._kernel.outbox.send(
                 name,
                 protocol.Greet(self._kernel.identity),
             )
-        self.arm_timer(now)
-        self._found(now)
 
     def arm_timer(self, now: int) -> None:
         """Greet again in a while."""
--- a/shallotwharf/components/replica/kernel.py
+++ b/shallotwharf/components/replica/kernel.py
@@ -62,10 +62,12 @@
         'leader',
         'heard_at',
         'storage_failed',
+        'failed_at',
         'outbox',
         'pending',
         'touched',
         'snapshot_wanted',
+        '_snapshot_entries',
         '_checkpoint',
     )
 
@@ -74,6 +76,7 @@
         name: str,
         recovered: storage.Recovered,
         source: random.Random,
+        snapshot_entries: int,
     ) -> None:
         self.name = name
         self.identity = recovered.identity
@@ -83,11 +86,13 @@
         self.leader = ''
         self.heard_at = 0
         self.storage_failed = False
+        self.failed_at = 0
         # Requests by the index of the entry this process appended for them.
         self.pending: dict[int, str] = {}
         # Requests added or answered in this step, for a store that fails.
         self.touched: list[str] = []
         self.snapshot_wanted = False
+        self._snapshot_entries = snapshot_entries
         state = typing.cast(stored.State | None, recovered.state)
         self.term = 0 if state is None else state.term
         self.vote = '' if state is None else state.vote
@@ -188,7 +193,8 @@
             self.log.find_members(taken.index),
         )
         self.parts = taken.parts
-        first = max(taken.index - const.KEPT_ENTRIES, self.log.base) + 1
+        kept = self._snapshot_entries // const.KEPT_FRACTION
+        first = max(taken.index - kept, self.log.base) + 1
         self.log.compact(self.snapshot, first)
         self._save_snapshot(first)
 
@@ -237,7 +243,7 @@
 
     def _want_snapshot(self) -> None:
         held = 0 if self.snapshot is None else self.snapshot.index
-        due = self.commit - held >= const.SNAPSHOT_ENTRIES
+        due = self.commit - held >= self._snapshot_entries
         if due and not self.snapshot_wanted:
             self.snapshot_wanted = True
             self.outbox.add(effects.Publish(messages.SnapshotWanted()))
--- a/shallotwharf/components/replica/leadership.py
+++ b/shallotwharf/components/replica/leadership.py
@@ -121,8 +121,7 @@
         peer = self._peers.get(message.identity)
         if peer is None:
             return
-        peer.acked_at = max(peer.acked_at, message.sent_at)
-        peer.writable = message.writable
+        peer.acknowledge(message.sent_at, message.writable)
         if message.accepted:
             peer.accept(message.index)
             self._advance_commit()
@@ -235,6 +234,7 @@
                 self._kernel.log.find_term(previous) or 0,
                 batch,
                 self._kernel.commit if previous else 0,
+                self._kernel.storage_failed,
                 now,
             ),
         )
--- a/shallotwharf/components/replica/membership.py
+++ b/shallotwharf/components/replica/membership.py
@@ -108,6 +108,7 @@
         return (
             peer.member in self._kernel.members.voters
             and peer.writable
+            and peer.proved_at > self._kernel.failed_at
             and peer.match == self._kernel.log.last_index
         )
 
--- a/shallotwharf/components/replica/progress.py
+++ b/shallotwharf/components/replica/progress.py
@@ -22,6 +22,7 @@
         batches: batches sent and not answered.
         acked_at: when the latest message that it answered was sent.
         writable: whether it can write to its disk.
+        proved_at: when the latest message was sent that it answered so.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         'batches',
         'acked_at',
         'writable',
+        'proved_at',
         'snapshot',
         'parts',
         'part',
@@ -45,6 +47,7 @@
         self.batches = 0
         self.acked_at = _NEVER
         self.writable = True
+        self.proved_at = _NEVER
         self.snapshot: stored.Snapshot | None = None
         self.parts: tuple[messages.Message, ...] = ()
         self.part = 0
@@ -61,6 +64,13 @@
             and ahead < const.MAX_ENTRIES_IN_FLIGHT
         )
 
+    def acknowledge(self, sent_at: int, writable: bool) -> None:
+        """Take note of an answer to what was sent at a time."""
+        self.acked_at = max(self.acked_at, sent_at)
+        self.writable = writable
+        if writable:
+            self.proved_at = max(self.proved_at, sent_at)
+
     def accept(self, index: int) -> None:
         """Take note that the log matches up to an index."""
         self.batches = max(self.batches - 1, 0)
--- a/shallotwharf/components/replica/protocol.py
+++ b/shallotwharf/components/replica/protocol.py
@@ -86,6 +86,8 @@
         previous_term: term of that entry.
         entries: consecutive entries.
         commit: commit index of the leader.
+        probe: whether the follower must write to its disk before it answers,
+            since the leader cannot and looks for one to take over.
         sent_at: the leader's clock; the reply returns it.
     """
 
@@ -96,6 +98,7 @@
         'previous_term',
         'entries',
         'commit',
+        'probe',
         'sent_at',
     )
 
@@ -107,6 +110,7 @@
         previous_term: int,
         entries: tuple[stored.Entry, ...],
         commit: int,
+        probe: bool,
         sent_at: int,
     ) -> None:
         self.term = term
@@ -115,6 +119,7 @@
         self.previous_term = previous_term
         self.entries = entries
         self.commit = commit
+        self.probe = probe
         self.sent_at = sent_at
 
 
--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -72,6 +72,7 @@
         voters: tuple[str, ...],
         recovered: storage.Recovered,
         source: random.Random,
+        snapshot_entries: int = const.SNAPSHOT_ENTRIES,
     ) -> None:
         """Take over what the disk holds.
 
@@ -80,11 +81,17 @@
             voters: names of the first voters, the same on each of them.
             recovered: content of the data folder.
             source: randomness of the election timeouts.
+            snapshot_entries: entries committed between two snapshots.
 
         Raises:
             CorruptionError: if entries are missing from the log.
         """
-        self._kernel = kernel.Kernel(process, recovered, source)
+        self._kernel = kernel.Kernel(
+            process,
+            recovered,
+            source,
+            snapshot_entries,
+        )
         self._elections = elections.Elections(self._kernel)
         self._leadership = leadership.Leadership(self._kernel)
         self._following = following.Following(self._kernel)
--- /dev/null
+++ b/tests/components/replica/test_faults.py
@@ -0,0 +1,239 @@
+"""Guards against two leaders, lost edits and edits that run twice.
+
+Each test is one fault of the design page; `Group.check` runs throughout.
+"""
+
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.replica import const, messages
+from tests.components.replica import groups
+
+SECOND_MS = 1000
+
+
+def list_others(group, name):
+    return [other for other in group.names if other != name]
+
+
+def read_voters(group):
+    status = group.replicas[group.wait_for_leader()].read_status()
+    return {member.identity for member in status.members.voters}
+
+
+def test_silent_partition_of_the_leader_for_minutes():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    others = list_others(group, leader)
+    group.cluster.cut([leader], others)
+    cut_at = group.now
+    stuck = group.edit(leader)
+    group.run_until(lambda: not group.watchers[leader].leading, 2000)
+    assert group.now - cut_at <= const.LEASE_MS + 50
+    group.run_until(group.find_leader, 5000)
+    assert group.find_leader() in others
+    refused = group.edit(leader)
+    group.run(180 * SECOND_MS, 500)
+    done = [group.commit_edit() for _ in range(20)]
+    group.recover()
+    assert refused not in group.replies
+    assert stuck not in group.replies
+    assert all(
+        isinstance(group.replies[request], ledger_messages.EditAccepted)
+        for request in done
+    )
+
+
+def test_frozen_leader_does_not_answer_once_it_is_thawed():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.cluster.freeze(leader)
+    request = group.edit(leader)
+    group.run(10 * SECOND_MS)
+    group.commit_edit()
+    group.cluster.thaw(leader)
+    group.check()
+    assert request not in group.replies
+    group.recover()
+
+
+def test_emptied_disk_does_not_vote_and_returns_as_learner():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    first, second = list_others(group, leader)
+    group.cluster.cut([second], [leader, first])
+    done = group.commit_edit()
+    # Only the leader and `first` have the edit; without the leader, `first`
+    # with an empty disk and `second` must not form a majority.
+    group.kill(leader)
+    group.wipe(first)
+    group.cluster.heal()
+    group.run(30 * SECOND_MS, 200)
+    assert group.find_leader() is None
+    group.start(leader)
+    group.recover()
+    assert done in group.replies
+    assert f'{first}2' in read_voters(group)
+
+
+def test_second_loss_right_after_a_repair():
+    group = groups.Group('abc')
+    group.wait_for_leader()
+    done = [group.commit_edit() for _ in range(5)]
+    for name in ('a', 'b', 'c', 'a'):
+        group.wipe(name)
+        group.run_until(group.is_whole)
+        done.append(group.commit_edit())
+    group.recover()
+    assert read_voters(group) == {'a3', 'b2', 'c2'}
+    assert set(done) <= set(group.replies)
+
+
+def test_disk_lost_again_while_it_is_repaired():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    lost = list_others(group, leader)[0]
+    for _ in range(5):
+        group.wipe(lost)
+        group.run(350, 50)
+    group.recover()
+    assert f'{lost}6' in read_voters(group)
+
+
+def test_first_start_waits_for_all_voters():
+    group = groups.Group('abc')
+    group.kill('c')
+    group.run(5 * SECOND_MS)
+    assert group.find_leader() is None
+    group.start('c')
+    group.wait_for_leader()
+
+
+def test_racing_operators_and_a_resend_after_the_leader_died():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    racers = [group.edit(leader, base=1) for _ in range(4)]
+    # The edits are sent to the followers, but their answers are lost.
+    group.cluster.run_for(20)
+    group.cluster.processes[leader].requests.answers.clear()
+    group.kill(leader)
+    survivor = group.wait_for_leader()
+    for request in reversed(racers):
+        group.resend(survivor, request)
+    group.run_until(lambda: set(racers) <= set(group.replies))
+    replies = [group.replies[request] for request in racers]
+    accepted = [
+        request
+        for request, reply in zip(racers, replies, strict=True)
+        if isinstance(reply, ledger_messages.EditAccepted)
+    ]
+    assert len(accepted) == 1
+    conflicts = [
+        reply
+        for reply in replies
+        if isinstance(reply, ledger_messages.EditConflict)
+    ]
+    assert [reply.winner for reply in conflicts] == accepted * 3
+    group.recover()
+
+
+def test_resend_after_a_snapshot_and_a_restart_of_all():
+    group = groups.Group('abc', snapshot_entries=4)
+    done = [group.commit_edit() for _ in range(30)]
+    group.run(SECOND_MS)
+    for name in group.names:
+        group.kill(name)
+    for name in group.names:
+        group.start(name)
+    leader = group.wait_for_leader()
+    for request in done:
+        group.resend(leader, request)
+    group.run(SECOND_MS)
+    group.recover()
+    assert group.ledgers[leader].current.number == len(done)
+
+
+def test_follower_far_behind_gets_the_snapshot_in_parts():
+    group = groups.Group('abc', snapshot_entries=4)
+    leader = group.wait_for_leader()
+    behind = list_others(group, leader)[0]
+    group.kill(behind)
+    for _ in range(40):
+        group.commit_edit(size=5)
+    group.start(behind)
+    group.recover()
+    assert group.ledgers[behind].current.number == 40
+
+
+def test_full_disk_refuses_edits_stays_readable_and_recovers():
+    group = groups.Group('a')
+    group.commit_edit()
+    group.folders['a'].full = True
+    lost = group.edit('a')
+    group.run(100)
+    refused = group.edit('a')
+    group.run(5 * SECOND_MS, 100)
+    assert not {lost, refused} & set(group.replies)
+    assert group.find_leader() == 'a'
+    assert group.ledgers['a'].current.number == 1
+    group.folders['a'].full = False
+    group.run(2 * SECOND_MS)
+    group.resend('a', lost)
+    group.run(100)
+    assert group.replies[lost].number == 2
+    group.kill('a')
+    group.start('a')
+    group.recover()
+
+
+def test_leader_with_a_full_disk_hands_over():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.folders[leader].full = True
+    group.edit(leader)
+    group.run(SECOND_MS)
+    assert group.find_leader() in list_others(group, leader)
+    group.commit_edit()
+    group.recover()
+
+
+def test_all_disks_full_keeps_the_leader_readable():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    for data in group.folders.values():
+        data.full = True
+    stuck = group.edit(leader)
+    group.run(10 * SECOND_MS, 100)
+    assert group.find_leader() == leader
+    assert stuck not in group.replies
+    group.recover()
+    group.commit_edit()
+
+
+def test_operator_removes_and_adds_a_voter():
+    group = groups.Group('abcde')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    removed = list_others(group, leader)[0]
+    deliver = group.cluster.processes[leader].dispatcher.deliver
+    deliver(messages.RemoveMember('', removed), '')
+    group.run(SECOND_MS)
+    assert f'{removed}1' not in read_voters(group)
+    group.run(10 * SECOND_MS, 200)
+    assert group.find_leader() == leader
+    deliver(messages.AddMember('', removed), '')
+    group.recover()
+    assert f'{removed}1' in read_voters(group)
+
+
+def test_leader_that_is_removed_makes_room_for_another():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    deliver = group.cluster.processes[leader].dispatcher.deliver
+    deliver(messages.RemoveMember('', leader), '')
+    group.run(100)
+    assert group.wait_for_leader() != leader
+    group.commit_edit()
+    assert len(read_voters(group)) == 2
