Add the move component: schedule, evidence, verdict, watcher and director

Cause: a new version of a back end needs a decision on each step and a take-back that works without control.

Change: steps are planned backwards from the due time; nodes count results by route and version and merge them per data centre and at control; an e-process per kind of failure decides; Watcher fences, Director proposes. A simulation of the real aggregates measures the policy beside fixed steps.

--- /dev/null
+++ b/shallotwharf/components/move/comparison.py
@@ -0,0 +1,142 @@
+"""Tests of the new version against the old one for one route."""
+
+import math
+import typing
+from collections import abc
+
+from shallotwharf.components.move import eprocess, evidence, reference
+
+# The alternatives are that the odds are this many times those of the null
+# hypothesis.
+_MULTIPLES: typing.Final = (2.5, 8.0, 40.0, 400.0)
+# At the same time the odds of a failure may be half as high again as the old
+# version's; with the lowest multiple, a version is surely found from 2.5
+# times on and a good one is not found by its mere number of calls.
+_TOLERANCE: typing.Final = 1.5
+# Factor by which counts of calls fade from slice to slice.
+_FADE: typing.Final = 0.95
+# Evidence of one slice counts at most this part of what is needed, so that
+# one short burst, such as a lost VM or one request that crashes an upstream,
+# does not take a version back.
+_SLICES_NEEDED: typing.Final = 4
+
+TESTS: typing.Final = 2 * len(reference.KINDS)
+
+
+class KindTest:
+    """The two tests of one kind of failure.
+
+    `concurrent` takes the failures of both versions as given and asks on
+    which version each fell, which holds whatever the common rate does.
+    `absolute` compares the new version's rate with the bound that the old
+    version leaves; it is the one with power when the old version has few
+    calls or none.
+    """
+
+    __slots__ = ('concurrent', 'absolute')
+
+    def __init__(self) -> None:
+        self.concurrent = eprocess.EProcess(len(_MULTIPLES))
+        self.absolute = eprocess.EProcess(len(_MULTIPLES))
+
+    def read(self) -> float:
+        """Return the stronger evidence as a natural logarithm."""
+        return max(self.concurrent.read(), self.absolute.read())
+
+
+class Exposure:
+    """Calls of the two versions in the last few seconds."""
+
+    __slots__ = ('old', 'new')
+
+    def __init__(self) -> None:
+        self.old: float = 0
+        self.new: float = 0
+
+    def learn(self, row: evidence.Row) -> None:
+        """Fade what is known and add the calls of one slice."""
+        self.old = self.old * _FADE + row.old.calls
+        self.new = self.new * _FADE + row.new.calls
+
+
+class Comparison:
+    """Evidence on one route, or on all together."""
+
+    __slots__ = (
+        'reference',
+        'old',
+        'new',
+        '_threshold',
+        '_limit',
+        '_exposure',
+        '_tests',
+    )
+
+    def __init__(self, threshold: float) -> None:
+        self.reference = reference.Reference()
+        self.old = evidence.EMPTY_COUNTS
+        self.new = evidence.EMPTY_COUNTS
+        self._threshold = threshold
+        climb = threshold + math.log(len(_MULTIPLES))
+        self._limit = climb / _SLICES_NEEDED
+        self._exposure = Exposure()
+        self._tests = tuple(KindTest() for _ in reference.KINDS)
+
+    def forget_exposure(self) -> None:
+        """Start the ratio of calls anew, since the share changes."""
+        self._exposure = Exposure()
+
+    def update(self, row: evidence.Row, warming: bool) -> None:
+        """Add one slice; `warming` during the warm-up."""
+        self.old = self.old.add(row.old)
+        self.new = self.new.add(row.new)
+        self._exposure.learn(row)
+        self.reference.learn(row.old)
+        for number, kind in enumerate(reference.KINDS):
+            lenient = warming and kind.warm_up_rate > 0
+            if not lenient:
+                self._compare(number, row)
+            if row.new.calls:
+                self._bound(number, row, lenient)
+
+    def read_level(self) -> float:
+        """Return the evidence as a part of what takes a version back."""
+        return max(test.read() for test in self._tests) / self._threshold
+
+    def find_kind(self) -> reference.Kind | None:
+        """Return the kind of failure that the new version is guilty of."""
+        for kind, test in zip(reference.KINDS, self._tests, strict=True):
+            if test.read() >= self._threshold:
+                return kind
+        return None
+
+    def _compare(self, number: int, row: evidence.Row) -> None:
+        kind = reference.KINDS[number]
+        hits = kind.read(row.new)
+        total = hits + kind.read(row.old)
+        if total and self._exposure.old:
+            odds = _TOLERANCE * self._exposure.new / self._exposure.old
+            self._tests[number].concurrent.update(
+                _weigh(hits, total, odds),
+                self._limit,
+            )
+
+    def _bound(self, number: int, row: evidence.Row, lenient: bool) -> None:
+        kind = reference.KINDS[number]
+        rate = self.reference.bound_rate(number)
+        if lenient:
+            rate = max(rate, kind.warm_up_rate)
+        self._tests[number].absolute.update(
+            _weigh(kind.read(row.new), row.new.calls, rate / (1 - rate)),
+            self._limit,
+        )
+
+
+def _weigh(hits: int, total: int, odds: float) -> abc.Sequence[float]:
+    # Logarithm of the likelihood ratio of `hits` in `total` draws whose odds
+    # are `multiple * odds` instead of `odds`.
+    return [
+        hits * math.log(multiple)
+        + total * math.log((1 + odds) / (1 + multiple * odds))
+        for multiple in _MULTIPLES
+    ]
--- /dev/null
+++ b/shallotwharf/components/move/evidence.py
@@ -0,0 +1,101 @@
+"""Counts of call results by route and version, mergeable by addition."""
+
+import typing
+from collections import abc
+
+from shallotwharf.components.move import const
+from shallotwharf.core import records
+
+OUTCOME_ANSWERED: typing.Final = 'answered'
+OUTCOME_ERROR: typing.Final = 'error'
+OUTCOME_CRASH: typing.Final = 'crash'
+
+# Row of the calls of all routes.
+OVERALL: typing.Final = ''
+
+
+class Counts(records.Record):
+    """Calls of one version; each is at most one of error, slow and crash."""
+
+    __slots__ = ('calls', 'errors', 'slow', 'crashes')
+
+    def __init__(
+        self,
+        calls: int = 0,
+        errors: int = 0,
+        slow: int = 0,
+        crashes: int = 0,
+    ) -> None:
+        self.calls = calls
+        self.errors = errors
+        self.slow = slow
+        self.crashes = crashes
+
+    def add(self, other: 'Counts') -> 'Counts':
+        """Return the sum of two counts."""
+        return Counts(
+            self.calls + other.calls,
+            self.errors + other.errors,
+            self.slow + other.slow,
+            self.crashes + other.crashes,
+        )
+
+    @property
+    def failures(self) -> int:
+        """Return the calls that ended in any bad way."""
+        return self.errors + self.slow + self.crashes
+
+
+class Row(records.Record):
+    """Calls of a route in one period, by the old and the new version."""
+
+    __slots__ = ('route', 'old', 'new')
+
+    def __init__(self, route: str, old: Counts, new: Counts) -> None:
+        self.route = route
+        self.old = old
+        self.new = new
+
+    def add(self, other: 'Row') -> 'Row':
+        """Return the sum of two rows of the same route."""
+        return Row(
+            self.route,
+            self.old.add(other.old),
+            self.new.add(other.new),
+        )
+
+
+class Slice:
+    """Rows of one period; at most `const.MAX_ROUTES` and the overall row."""
+
+    __slots__ = ('_rows',)
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+
+    def merge(self, rows: abc.Iterable[Row]) -> None:
+        """Add rows, the overall row included."""
+        for row in rows:
+            known = self._rows.get(row.route)
+            if known is not None:
+                self._rows[row.route] = known.add(row)
+            elif len(self._rows) <= const.MAX_ROUTES:
+                self._rows[row.route] = row
+
+    def take(self) -> tuple[Row, ...]:
+        """Return the rows and start the next period."""
+        rows = tuple(self._rows.values())
+        self._rows = {}
+        return rows
+
+
+EMPTY_COUNTS: typing.Final = Counts()
+EMPTY_ROW: typing.Final = Row(OVERALL, EMPTY_COUNTS, EMPTY_COUNTS)
+
+
+def find_overall(rows: abc.Iterable[Row]) -> Row:
+    """Return the overall row; an empty one if there is none."""
+    for row in rows:
+        if row.route == OVERALL:
+            return row
+    return EMPTY_ROW
--- /dev/null
+++ b/shallotwharf/components/move/fences.py
@@ -0,0 +1,70 @@
+"""Fences that a node knows."""
+
+import typing
+from collections import abc
+
+from shallotwharf.components.move import const, messages
+from shallotwharf.components.tables import version
+
+_MAX_FENCES: typing.Final = 256
+
+
+class _Entry:
+    """A fence, whether its move was in force here, and when it expires."""
+
+    __slots__ = ('fence', 'seen', 'expires_at')
+
+    def __init__(self, fence: messages.FenceRaised, expires_at: int) -> None:
+        self.fence = fence
+        self.seen = False
+        self.expires_at = expires_at
+
+
+class Fences:
+    """Fences by move.
+
+    A fence goes when its move was in the version and no longer is. One whose
+    move this node has not seen yet stays until its lifetime ends, since a
+    fence may arrive before the version that declares the move.
+    """
+
+    __slots__ = ('_entries',)
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+
+    def add(self, fence: messages.FenceRaised, now: int) -> bool:
+        """Record a fence; return whether it is a new one."""
+        if fence.move_id in self._entries:
+            return False
+        if len(self._entries) >= _MAX_FENCES:
+            self._entries.pop(next(iter(self._entries)))
+        self._entries[fence.move_id] = _Entry(
+            fence,
+            now + const.FENCE_LIFETIME_MS,
+        )
+        return True
+
+    def has(self, move_id: str) -> bool:
+        """Tell whether a move is fenced."""
+        return move_id in self._entries
+
+    def apply(self, moves: abc.Iterable[version.Move], now: int) -> None:
+        """Drop the fences of moves that are gone."""
+        present = {move.move_id for move in moves}
+        for move_id, entry in list(self._entries.items()):
+            entry.seen = entry.seen or move_id in present
+            ended = move_id not in present and entry.seen
+            if ended or now >= entry.expires_at:
+                self._entries.pop(move_id)
+
+    def list_unrecorded(
+        self,
+        moves: abc.Iterable[version.Move],
+    ) -> list[messages.FenceRaised]:
+        """Return the fences of moves that control has not taken back."""
+        return [
+            self._entries[move.move_id].fence
+            for move in moves
+            if self.has(move.move_id) and move.state != version.STATE_TAKEN_BACK
+        ]
--- /dev/null
+++ b/shallotwharf/components/move/obstacles.py
@@ -0,0 +1,80 @@
+"""Reasons that keep a move from its next step."""
+
+import typing
+
+from shallotwharf.components.move import const, evidence
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.core import clock
+
+# Part of the evidence for a take-back at which no step is taken.
+SUSPICIOUS_LEVEL: typing.Final = 0.5
+# Part that a new measurement of the call rate contributes.
+_RATE_PART: typing.Final = 0.1
+
+
+class Traffic:
+    """Calls of a move's pool and the data centres that report them."""
+
+    __slots__ = (
+        'calls_per_second',
+        '_started_at',
+        '_measured_at',
+        '_heard',
+        '_step',
+    )
+
+    def __init__(self, now: int) -> None:
+        self.calls_per_second: float = 0
+        self._started_at = now
+        self._measured_at = now
+        self._heard: dict[str, int] = {}
+        self._step = evidence.EMPTY_ROW
+
+    def restart(self) -> None:
+        """Count the calls of the present share anew."""
+        self._step = evidence.EMPTY_ROW
+
+    def hear(self, datacentre: str, row: evidence.Row, now: int) -> None:
+        """Note a report of a data centre with its calls."""
+        self._heard[datacentre] = now
+        self._step = self._step.add(row)
+
+    def measure(self, row: evidence.Row, now: int) -> None:
+        """Update the call rate with the calls since the last measurement."""
+        elapsed_ms = now - self._measured_at
+        if elapsed_ms <= 0:
+            return
+        self._measured_at = now
+        calls = row.old.calls + row.new.calls
+        rate = calls * clock.SECOND_MS / elapsed_ms
+        self.calls_per_second += _RATE_PART * (rate - self.calls_per_second)
+
+    def find_obstacle(
+        self,
+        expected: list[str],
+        share: int,
+        next_share: int,
+        now: int,
+    ) -> str:
+        """Return why the next share may not be taken; empty if it may.
+
+        Without evidence from any data centre there is no step. While one of
+        them is silent, the share grows to `const.BLIND_SHARE` at most.
+        """
+        silent = [name for name in expected if self._is_silent(name, now)]
+        if all(self._is_silent(name, now) for name in self._heard):
+            return 'no data centre reports evidence'
+        if silent and next_share > const.BLIND_SHARE:
+            return f'no evidence from {", ".join(silent)}'
+        wanted = self._count_calls() * share // tables_const.FULL_SHARE
+        if wanted >= const.STARVED_CALLS:
+            if self._step.new.calls * const.STARVED_PART < wanted:
+                return 'the new version gets too few calls'
+        return ''
+
+    def _is_silent(self, datacentre: str, now: int) -> bool:
+        heard_at = self._heard.get(datacentre, self._started_at)
+        return now - heard_at > const.SILENT_MS
+
+    def _count_calls(self) -> int:
+        return self._step.old.calls + self._step.new.calls
--- /dev/null
+++ b/shallotwharf/components/move/progress.py
@@ -0,0 +1,192 @@
+"""Control's view of one move and the next step it takes."""
+
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.move import (
+    const,
+    evidence,
+    obstacles,
+    schedule,
+    verdict,
+    watch,
+)
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import version
+from shallotwharf.core import messages
+
+
+class Progress:
+    """Evidence on a move from all data centres, and its schedule.
+
+    Times named `wall` are milliseconds since the epoch; `now` is on the
+    monotonic clock.
+    """
+
+    __slots__ = (
+        'move',
+        'fault',
+        'trial',
+        'traffic',
+        '_first_share',
+        '_since',
+        '_slack_ms',
+        '_incoming',
+        '_sequences',
+        '_blocked_since',
+    )
+
+    def __init__(
+        self,
+        move: version.Move,
+        first_share: int,
+        now: int,
+        wall: int,
+    ) -> None:
+        self.move = move
+        self.fault = ''
+        self.trial = verdict.Trial(1)
+        self.traffic = obstacles.Traffic(now)
+        self._first_share = first_share
+        self._since = wall
+        self._slack_ms = schedule.compute_slack(move.due_at - wall)
+        self._incoming = evidence.Slice()
+        self._sequences = watch.Sequences()
+        self._blocked_since: int | None = None
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether control still steps or judges the move."""
+        return self.move.state in watch.ACTIVE_STATES
+
+    def apply(self, move: version.Move, wall: int) -> None:
+        """Follow the move in a new version."""
+        known = self.move
+        self.move = move
+        changed = move.state != known.state
+        if move.share != known.share:
+            self.trial.forget_exposure()
+            self.traffic.restart()
+            self._blocked_since = None
+            self._since = wall
+        elif changed and move.state == version.STATE_WATCHING:
+            self._since = wall
+
+    def accept(
+        self,
+        sender: str,
+        datacentre: str,
+        position: tuple[int, int],
+        rows: tuple[evidence.Row, ...],
+        now: int,
+    ) -> None:
+        """Add a data centre's report unless it is a duplicate.
+
+        `position` is the sender's generation and sequence.
+        """
+        if self._sequences.accept(sender, *position):
+            self.traffic.hear(datacentre, evidence.find_overall(rows), now)
+            self._incoming.merge(rows)
+
+    def close_slice(self, now: int) -> None:
+        """Judge what arrived since the last slice."""
+        rows = self._incoming.take()
+        self.traffic.measure(evidence.find_overall(rows), now)
+        if rows:
+            self.trial.update(rows, now)
+            self.fault = self.fault or self.trial.find_fault()
+
+    def plan(self) -> tuple[schedule.Step, ...]:
+        """Return the steps that remain."""
+        return schedule.plan_steps(
+            schedule.Position(
+                self.move.share,
+                self._since,
+                self.move.due_at - self._slack_ms,
+                self._first_share,
+                self.traffic.calls_per_second,
+            ),
+        )
+
+    def decide(
+        self,
+        expected: list[str],
+        now: int,
+        wall: int,
+    ) -> messages.Message | None:
+        """Return the command to propose; None if nothing is to be done.
+
+        `expected` are the data centres from which evidence is needed.
+        """
+        if self.fault:
+            return ledger_messages.TakeBack(
+                self.move.move_id,
+                self.fault,
+                wall,
+            )
+        if self.move.share >= tables_const.FULL_SHARE:
+            return self._finish(expected, now, wall)
+        following = self.plan()[0]
+        if wall < following.at:
+            return None
+        reason = self.find_obstacle(expected, now)
+        if reason:
+            return self._hold(reason, now, wall)
+        state = version.STATE_STEPPING
+        if following.share == tables_const.FULL_SHARE:
+            state = version.STATE_FULL
+        return self._step(following.share, state, '', wall)
+
+    def find_obstacle(self, expected: list[str], now: int) -> str:
+        """Return why the next step may not be taken; empty if it may."""
+        shares = [step.share for step in self.plan()[:1]]
+        if self.trial.read_level() > obstacles.SUSPICIOUS_LEVEL:
+            return 'evidence against the new version is growing'
+        return self.traffic.find_obstacle(
+            expected,
+            self.move.share,
+            shares[0] if shares else tables_const.FULL_SHARE,
+            now,
+        )
+
+    def _finish(
+        self,
+        expected: list[str],
+        now: int,
+        wall: int,
+    ) -> messages.Message | None:
+        if self.move.state == version.STATE_WATCHING:
+            state, wait_ms = version.STATE_DONE, const.WATCH_MS
+        else:
+            state, wait_ms = version.STATE_WATCHING, const.MIN_STEP_MS
+        if wall < self._since + wait_ms or self.find_obstacle(expected, now):
+            return None
+        return self._step(tables_const.FULL_SHARE, state, '', wall)
+
+    def _hold(
+        self,
+        reason: str,
+        now: int,
+        wall: int,
+    ) -> messages.Message | None:
+        if self._blocked_since is None:
+            self._blocked_since = now
+        recorded = (version.STATE_HELD, reason)
+        if (self.move.state, self.move.reason) == recorded:
+            return None
+        if now - self._blocked_since < const.HOLD_RECORD_MS:
+            return None
+        return self._step(self.move.share, version.STATE_HELD, reason, wall)
+
+    def _step(
+        self,
+        share: int,
+        state: str,
+        reason: str,
+        wall: int,
+    ) -> ledger_messages.StepMove:
+        return ledger_messages.StepMove(
+            self.move.move_id,
+            share,
+            state,
+            reason,
+            wall,
+        )
--- /dev/null
+++ b/shallotwharf/components/move/reference.py
@@ -0,0 +1,103 @@
+"""What the old version's results allow the new version."""
+
+import math
+import typing
+
+from shallotwharf.components.move import evidence
+from shallotwharf.core import records
+
+# The long-run counts are halved above this many calls, so that they follow
+# slow changes of the old version.
+_MAX_CALLS: typing.Final = 4096
+# Factor by which recent counts fade from slice to slice; at two slices a
+# second they cover about 10 s.
+_FADE: typing.Final = 0.95
+# The new version may have twice the old one's upper bound.
+_TOLERANCE: typing.Final = 2
+_MAX_RATE: typing.Final = 0.9
+
+
+class Kind(records.Record):
+    """A way in which a call goes wrong.
+
+    Attributes:
+        name: field of `evidence.Counts`.
+        floor: rate that is harmless whatever the old version does.
+        warm_up_rate: rate that is allowed during the warm-up; 0 for none.
+    """
+
+    __slots__ = ('name', 'floor', 'warm_up_rate')
+
+    def __init__(self, name: str, floor: float, warm_up_rate: float) -> None:
+        self.name = name
+        self.floor = floor
+        self.warm_up_rate = warm_up_rate
+
+    def read(self, counts: evidence.Counts) -> int:
+        """Return the calls that went wrong in this way."""
+        return int(getattr(counts, self.name))
+
+
+KINDS: typing.Final = (
+    Kind('errors', 0.005, 0.2),  # noqa: WPS432
+    Kind('slow', 0.03, 0.8),  # noqa: WPS432
+    Kind('crashes', 0.001, 0),  # noqa: WPS432
+)
+
+
+class Fading:
+    """Counts of the old version in the last few seconds."""
+
+    __slots__ = ('calls', 'failures')
+
+    def __init__(self) -> None:
+        self.calls: float = 0
+        self.failures: list[float] = [0 for _ in KINDS]
+
+    def learn(self, counts: evidence.Counts) -> None:
+        """Fade what is known and add the counts of one slice."""
+        self.calls = self.calls * _FADE + counts.calls
+        self.failures = [
+            known * _FADE + kind.read(counts)
+            for known, kind in zip(self.failures, KINDS, strict=True)
+        ]
+
+
+class Reference:
+    """Rates of the old version: in the long run and now.
+
+    The present rate counts as well, so that a fault that hits both versions
+    does not speak against the new one.
+    """
+
+    __slots__ = ('long_run', '_recent')
+
+    def __init__(self) -> None:
+        self.long_run = evidence.EMPTY_COUNTS
+        self._recent = Fading()
+
+    def learn(self, counts: evidence.Counts) -> None:
+        """Add the counts of one slice."""
+        self._recent.learn(counts)
+        self.learn_history(counts)
+
+    def learn_history(self, counts: evidence.Counts) -> None:
+        """Add counts of an earlier time to the long run."""
+        total = self.long_run.add(counts)
+        if total.calls > _MAX_CALLS:
+            total = evidence.Counts(
+                *(count // 2 for count in total.read_fields()),
+            )
+        self.long_run = total
+
+    def bound_rate(self, number: int) -> float:
+        """Return the rate allowed to the new version for a kind."""
+        kind = KINDS[number]
+        failures = kind.read(self.long_run)
+        # Two standard deviations and two failures above the mean.
+        upper = (failures + 2 + 2 * math.sqrt(failures + 1)) / (
+            self.long_run.calls + 1
+        )
+        recent = self._recent.failures[number] / (self._recent.calls + 1)
+        allowed = _TOLERANCE * max(upper, recent)
+        return min(max(allowed, kind.floor), _MAX_RATE)
--- /dev/null
+++ b/shallotwharf/components/move/schedule.py
@@ -0,0 +1,156 @@
+"""Steps of a move, computed backwards from its due time.
+
+The move is planned to be full at the due time minus a slack for one stop.
+If the due time is past or too near, the plan is the fastest safe one: steps
+of `const.MIN_STEP_MS`, the first one longer by the warm-up, each at most
+five times the share before it. From the start that is 75 s for pools that
+serve confirmations and 60 s for others.
+"""
+
+import math
+from collections import abc
+
+from shallotwharf.components.move import const
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import version
+from shallotwharf.core import clock, records
+
+
+class Step(records.Record):
+    """The share, in hundredths of a percent, that is set at wall time `at`."""
+
+    __slots__ = ('at', 'share')
+
+    def __init__(self, at: int, share: int) -> None:
+        self.at = at
+        self.share = share
+
+
+class Position(records.Record):
+    """Where a move stands.
+
+    Attributes:
+        share: present share, in hundredths of a percent.
+        since: wall time from which the share has been in force.
+        full_at: wall time at which the move should be full, which is the
+            due time minus the slack.
+        first_share: the lowest share above 0.
+        calls_per_second: calls of the pool by both versions; 0 if unknown.
+    """
+
+    __slots__ = (
+        'share',
+        'since',
+        'full_at',
+        'first_share',
+        'calls_per_second',
+    )
+
+    def __init__(
+        self,
+        share: int,
+        since: int,
+        full_at: int,
+        first_share: int,
+        calls_per_second: float,
+    ) -> None:
+        self.share = share
+        self.since = since
+        self.full_at = full_at
+        self.first_share = first_share
+        self.calls_per_second = calls_per_second
+
+
+def find_first_share(tables: version.Tables, pool: str) -> int:
+    """Return the first share of a move of a pool."""
+    confirms = any(
+        row.pool == pool and row.priority == tables_const.PRIORITY_CONFIRMATION
+        for row in tables.routes
+    )
+    if confirms:
+        return const.FIRST_SHARE_CONFIRMATION
+    return const.FIRST_SHARE
+
+
+def compute_slack(until_due_ms: int) -> int:
+    """Return the time kept for one stop of a move, in milliseconds."""
+    return min(
+        max(until_due_ms // const.SLACK_PART, const.MIN_SLACK_MS),
+        const.MAX_SLACK_MS,
+    )
+
+
+def plan_steps(position: Position) -> tuple[Step, ...]:
+    """Return the steps that remain; none if the share is full."""
+    if position.share >= tables_const.FULL_SHARE:
+        return ()
+    start_share = position.share or position.first_share
+    available = max(position.full_at - position.since, 0)
+    shares = _choose_shares(position, start_share, available)
+    durations = _stretch(position, shares, available)
+    at = position.since
+    steps = []
+    if position.share == 0:
+        # The latest start; the last step is `available` after `since`.
+        at += max(available - sum(durations), 0)
+        steps.append(Step(at, start_share))
+    for duration, share in zip(durations, shares[1:], strict=True):
+        at += duration
+        steps.append(Step(at, share))
+    return tuple(steps)
+
+
+def _choose_shares(
+    position: Position,
+    start_share: int,
+    available: int,
+) -> list[int]:
+    shares: list[int] = []
+    for growth in const.GROWTHS:
+        shares = _grow(start_share, growth)
+        if sum(_find_shortest(position, shares)) <= available:
+            break
+    return shares
+
+
+def _grow(start_share: int, growth: int) -> list[int]:
+    ratio = tables_const.FULL_SHARE / start_share
+    # The tolerance keeps rounding from adding a step.
+    count = max(math.ceil(math.log(ratio, growth) - 0.01), 1)  # noqa: WPS432
+    return [
+        round(start_share * ratio ** (number / count))
+        for number in range(count + 1)
+    ]
+
+
+def _find_shortest(
+    position: Position,
+    shares: abc.Sequence[int],
+) -> list[int]:
+    durations = [const.MIN_STEP_MS for _ in shares[1:]]
+    if shares[0] == position.first_share:
+        durations[0] += const.WARM_UP_MS
+    return durations
+
+
+def _stretch(
+    position: Position,
+    shares: abc.Sequence[int],
+    available: int,
+) -> list[int]:
+    shortest = _find_shortest(position, shares)
+    spare = max(available - sum(shortest), 0)
+    wanted = [_find_wanted(position, share) for share in shares[:-1]]
+    total = sum(wanted)
+    return [
+        min(short + round(spare * want / total), const.MAX_STEP_MS)
+        for short, want in zip(shortest, wanted, strict=True)
+    ]
+
+
+def _find_wanted(position: Position, share: int) -> int:
+    calls = position.calls_per_second * share / tables_const.FULL_SHARE
+    if calls <= 0:
+        return const.MAX_STEP_MS
+    wanted = const.WANTED_CALLS / calls * clock.SECOND_MS
+    return round(min(max(wanted, const.MIN_STEP_MS), const.MAX_STEP_MS))
--- /dev/null
+++ b/shallotwharf/components/move/verdict.py
@@ -0,0 +1,106 @@
+"""Whether a new version of a service is bad."""
+
+import math
+import typing
+from collections import abc
+
+from shallotwharf.components.move import (
+    comparison,
+    const,
+    evidence,
+    reference,
+)
+
+# Half of the false-positive rate goes to the calls of all routes together.
+_OVERALL_PART: typing.Final = 2
+
+
+class Trial:
+    """Evidence of one level: a node, a data centre or all of them.
+
+    Attributes:
+        parts: how many trials share the false-positive rate of the level.
+    """
+
+    __slots__ = ('_threshold', '_comparisons', '_warm_until')
+
+    def __init__(self, parts: int) -> None:
+        self._threshold = math.log(
+            const.LEVELS
+            * parts
+            * comparison.TESTS
+            * _OVERALL_PART
+            / const.FALSE_POSITIVE_RATE,
+        )
+        self._comparisons = {
+            evidence.OVERALL: comparison.Comparison(self._threshold),
+        }
+        self._warm_until: int | None = None
+
+    def forget_exposure(self) -> None:
+        """Start the ratios of calls anew, since the share changes."""
+        for compared in self._comparisons.values():
+            compared.forget_exposure()
+
+    def update(self, rows: abc.Iterable[evidence.Row], now: int) -> None:
+        """Add the rows of one slice, the overall row included."""
+        for row in rows:
+            if self._warm_until is None and row.new.calls:
+                self._warm_until = now + const.WARM_UP_MS
+            warming = self._warm_until is None or now < self._warm_until
+            self._open(row.route).update(row, warming)
+
+    def learn_history(self, rows: abc.Iterable[evidence.Row]) -> None:
+        """Add long-run counts of the old version from another trial."""
+        for row in rows:
+            self._open(row.route).reference.learn_history(row.old)
+
+    def read_history(self) -> tuple[evidence.Row, ...]:
+        """Return the long-run counts of the old version by route."""
+        return tuple(
+            evidence.Row(
+                route,
+                compared.reference.long_run,
+                evidence.EMPTY_COUNTS,
+            )
+            for route, compared in self._comparisons.items()
+        )
+
+    def read_level(self) -> float:
+        """Return the evidence; from 1 on the new version is bad."""
+        return max(
+            compared.read_level() for compared in self._comparisons.values()
+        )
+
+    def find_fault(self) -> str:
+        """Return the evidence that shows the version bad; else empty."""
+        for route, compared in self._comparisons.items():
+            kind = compared.find_kind()
+            if kind is not None:
+                return _describe(route, compared, kind)
+        return ''
+
+    def _open(self, route: str) -> comparison.Comparison:
+        known = self._comparisons.get(route)
+        if known is None:
+            # The parts 1 / (i * (i + 1)) of the i-th route sum to 1.
+            place = len(self._comparisons)
+            known = comparison.Comparison(
+                self._threshold + math.log(place * (place + 1)),
+            )
+            self._comparisons[route] = known
+        return known
+
+
+def _describe(
+    route: str,
+    compared: comparison.Comparison,
+    kind: reference.Kind,
+) -> str:
+    place = f'route {route}' if route else 'all routes'
+    new, old = compared.new, compared.old
+    return (
+        f'{kind.name} on {place}: '
+        f'new {kind.read(new)} of {new.calls} calls, '
+        f'old {kind.read(old)} of {old.calls}'
+    )
--- /dev/null
+++ b/shallotwharf/components/move/watch.py
@@ -0,0 +1,152 @@
+"""Evidence on one move in one process."""
+
+import typing
+from collections import abc
+
+from shallotwharf.components.move import (
+    const,
+    evidence,
+    messages,
+    tally,
+    verdict,
+)
+from shallotwharf.components.tables import version
+
+# States in which the new version is judged.
+ACTIVE_STATES: typing.Final = frozenset(
+    (
+        version.STATE_PENDING,
+        version.STATE_STEPPING,
+        version.STATE_FULL,
+        version.STATE_WATCHING,
+        version.STATE_HELD,
+    ),
+)
+
+
+class Sequences:
+    """The last report of each sender."""
+
+    __slots__ = ('_last',)
+
+    def __init__(self) -> None:
+        self._last: dict[str, tuple[int, int]] = {}
+
+    def accept(self, sender: str, generation: int, sequence: int) -> bool:
+        """Tell whether a report is newer than all before from its sender."""
+        position = (generation, sequence)
+        if position <= self._last.get(sender, (-1, -1)):
+            return False
+        self._last[sender] = position
+        return True
+
+    def knows(self, sender: str) -> bool:
+        """Tell whether a sender has reported before."""
+        return sender in self._last
+
+
+class Local:
+    """What a node sees itself, and what it still has to report."""
+
+    __slots__ = ('calls', 'trial', '_unsent', '_slices', '_reported_to')
+
+    def __init__(self, move: version.Move, slow_ms: int) -> None:
+        self.calls = tally.PoolTally(
+            move.from_version,
+            move.to_version,
+            slow_ms,
+        )
+        self.trial = verdict.Trial(const.MAX_NODES)
+        self._unsent = evidence.Slice()
+        self._slices = 0
+        self._reported_to = ''
+
+    def close_slice(self, now: int) -> bool:
+        """Judge the last slice; return whether a report is due."""
+        rows = self.calls.take()
+        if rows:
+            self.trial.update(rows, now)
+            self._unsent.merge(rows)
+        self._slices += 1
+        if evidence.find_overall(rows).new.failures:
+            return True
+        return self._slices % const.SLICES_PER_REPORT == 0
+
+    def take_report(self) -> tuple[evidence.Row, ...]:
+        """Return the rows that were not reported yet."""
+        return self._unsent.take()
+
+    def take_history(self, collector: str) -> tuple[evidence.Row, ...]:
+        """Return what a collector lacks if it is a new one."""
+        previous = self._reported_to
+        self._reported_to = collector
+        if previous in {'', collector}:
+            return ()
+        return self.trial.read_history()
+
+
+class Collection:
+    """What the nodes of a data centre see; kept by the move's collector."""
+
+    __slots__ = ('trial', '_incoming', '_unsent', '_sequences', '_slices')
+
+    def __init__(self) -> None:
+        self.trial = verdict.Trial(const.MAX_DATACENTRES)
+        self._incoming = evidence.Slice()
+        self._unsent = evidence.Slice()
+        self._sequences = Sequences()
+        self._slices = 0
+
+    def accept(self, report: messages.NodeEvidence, sender: str) -> None:
+        """Add a node's report unless it is a duplicate."""
+        known = self._sequences.knows(sender)
+        if self._sequences.accept(sender, report.generation, report.sequence):
+            self._incoming.merge(report.rows)
+            if not known:
+                self.trial.learn_history(report.history)
+
+    def close_slice(self, now: int) -> bool:
+        """Judge the last slice; return whether a summary is due."""
+        rows = self._incoming.take()
+        if rows:
+            self.trial.update(rows, now)
+            self._unsent.merge(rows)
+        self._slices += 1
+        return self._slices % const.SLICES_PER_SUMMARY == 0
+
+    def take_summary(self) -> tuple[evidence.Row, ...]:
+        """Return the rows that were not reported yet."""
+        return self._unsent.take()
+
+
+class Watch:
+    """One move that this node takes part in."""
+
+    __slots__ = ('move', 'local', 'collection')
+
+    def __init__(self, move: version.Move, slow_ms: int) -> None:
+        self.move = move
+        self.local = Local(move, slow_ms)
+        self.collection = Collection()
+
+    def apply(self, move: version.Move) -> None:
+        """Follow a step of the move."""
+        if move.share != self.move.share:
+            self.local.trial.forget_exposure()
+            self.collection.trial.forget_exposure()
+        self.move = move
+
+    def find_fault(self) -> str:
+        """Return the evidence that shows the new version bad; else empty."""
+        return (
+            self.collection.trial.find_fault() or self.local.trial.find_fault()
+        )
+
+
+def select_active(
+    moves: abc.Iterable[version.Move],
+) -> abc.Iterator[version.Move]:
+    """Yield the moves whose new version is judged."""
+    for move in moves:
+        if move.state in ACTIVE_STATES:
+            yield move
--- /dev/null
+++ b/shallotwharf/components/move/watcher.py
@@ -0,0 +1,289 @@
+"""Aggregate of a node that judges new versions and fences bad ones."""
+
+import typing
+
+from shallotwharf.components.membership import messages as membership_messages
+from shallotwharf.components.move import const, fences, messages, watch
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.components.tables import version
+from shallotwharf.core import (
+    aggregate,
+    effects,
+    rendezvous,
+)
+from shallotwharf.core import messages as core_messages
+
+_TIMER_SLICE: typing.Final = 'slice'
+
+
+class Watcher(aggregate.Aggregate):
+    """Collects evidence within the data centre; needs no control.
+
+    Each node reports to the move's collector, one of the relays. The own
+    evidence of each node and that of the data centre are judged apart.
+
+    Args:
+        name: name of this process.
+        datacentre: name of its data centre.
+        control: names of the control processes.
+        generation: grows with each restart, such as the wall time of the
+            start in milliseconds.
+    """
+
+    __slots__ = (
+        '_name',
+        '_datacentre',
+        '_control',
+        '_generation',
+        '_sequence',
+        '_relays',
+        '_watches',
+        '_moves',
+        '_fences',
+        '_ticking',
+        '_slices',
+    )
+
+    name = 'move.watcher'
+    handlers = {
+        tables_messages.VersionApplied: 'apply_version',
+        membership_messages.MembersChanged: 'change_members',
+        messages.NodeEvidence: 'collect',
+        messages.FenceRaised: 'note_fence',
+        core_messages.TimerFired: 'close_slice',
+    }
+
+    def __init__(
+        self,
+        name: str,
+        datacentre: str,
+        control: tuple[str, ...],
+        generation: int,
+    ) -> None:
+        self._name = name
+        self._datacentre = datacentre
+        self._control = control
+        self._generation = generation
+        self._sequence = 0
+        self._relays = [name]
+        self._watches: dict[str, watch.Watch] = {}
+        self._moves: tuple[version.Move, ...] = ()
+        self._fences = fences.Fences()
+        self._ticking = False
+        self._slices = 0
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Return no effects; work starts with the first version."""
+        return []
+
+    def observe(
+        self,
+        route: str,
+        pool: str,
+        upstream_version: str,
+        outcome: str,
+        duration_ms: float,
+        now: int,
+    ) -> None:
+        """Count the result of one attempt; runs on each call.
+
+        `outcome` is one of the `OUTCOME_` names of `move.evidence`. Attempts
+        that surely did not run are no evidence and are not passed here.
+        """
+        watched = self._watches.get(pool)
+        if watched is not None:
+            watched.local.calls.count(
+                route,
+                upstream_version,
+                outcome,
+                duration_ms,
+            )
+
+    def is_fenced(self, move_id: str) -> bool:
+        """Tell whether the new version of a move gets no traffic."""
+        return self._fences.has(move_id)
+
+    def apply_version(
+        self,
+        message: tables_messages.VersionApplied,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Follow the moves of a version that this node swapped in."""
+        applied = message.applied
+        self._moves = applied.moves
+        self._fences.apply(applied.moves, now)
+        known = self._watches
+        self._watches = {}
+        for move in watch.select_active(applied.moves):
+            served = applied.find_pool(move.pool)
+            if served is None or self._fences.has(move.move_id):
+                continue
+            watched = known.get(move.pool)
+            if watched is None or watched.move.move_id != move.move_id:
+                watched = watch.Watch(move, served.slow_ms)
+            watched.apply(move)
+            self._watches[move.pool] = watched
+        return self._keep_ticking(now)
+
+    def change_members(
+        self,
+        message: membership_messages.MembersChanged,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Choose the relays anew."""
+        names = {member.name for member in message.members}
+        names.add(self._name)
+        ranked = rendezvous.rank_members(const.RELAY_KEY, names)
+        self._relays = ranked[: const.RELAYS_PER_DATACENTRE]
+        return []
+
+    def collect(
+        self,
+        message: messages.NodeEvidence,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Add the evidence of a node of this data centre."""
+        for watched in self._watches.values():
+            if watched.move.move_id == message.move_id:
+                watched.collection.accept(message, sender)
+        return []
+
+    def note_fence(
+        self,
+        message: messages.FenceRaised,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Stop judging a version that is fenced already."""
+        if not self._fences.add(message, now):
+            return []
+        # Marks the fence as seen if its move is in force.
+        self._fences.apply(self._moves, now)
+        watched = self._watches.get(message.pool)
+        if watched is not None and watched.move.move_id == message.move_id:
+            self._watches.pop(message.pool)
+        return [effects.Count('move.fences')]
+
+    def close_slice(
+        self,
+        message: core_messages.TimerFired,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Judge what the last slice brought and pass it on."""
+        self._ticking = False
+        step: list[effects.Effect] = []
+        for watched in list(self._watches.values()):
+            step.extend(self._report_calls(watched, now))
+            step.extend(self._report_summary(watched, now))
+            fault = watched.find_fault()
+            if fault:
+                step.extend(self._raise_fence(watched.move, fault, now))
+        return [*step, *self._repeat_fences(), *self._keep_ticking(now)]
+
+    def _report_calls(
+        self,
+        watched: watch.Watch,
+        now: int,
+    ) -> list[effects.Effect]:
+        if not watched.local.close_slice(now):
+            return []
+        rows = watched.local.take_report()
+        if not rows:
+            return []
+        collector = self._find_collector(watched.move.pool)
+        self._sequence += 1
+        report = messages.NodeEvidence(
+            watched.move.move_id,
+            self._generation,
+            self._sequence,
+            rows,
+            watched.local.take_history(collector),
+        )
+        if collector == self._name:
+            watched.collection.accept(report, self._name)
+            return []
+        return [effects.Send(collector, report)]
+
+    def _report_summary(
+        self,
+        watched: watch.Watch,
+        now: int,
+    ) -> list[effects.Effect]:
+        if not watched.collection.close_slice(now):
+            return []
+        rows = watched.collection.take_summary()
+        # A summary without calls tells that the data centre is reachable.
+        if not rows and self._find_collector(watched.move.pool) != self._name:
+            return []
+        self._sequence += 1
+        return self._tell_control(
+            messages.DatacentreEvidence(
+                watched.move.move_id,
+                self._datacentre,
+                self._generation,
+                self._sequence,
+                rows,
+            ),
+        )
+
+    def _raise_fence(
+        self,
+        move: version.Move,
+        fault: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        fence = messages.FenceRaised(
+            move.move_id,
+            move.pool,
+            move.to_version,
+            f'{fault} ({self._datacentre})',
+            self._name,
+        )
+        noted = self.note_fence(fence, self._name, now)
+        spread = membership_messages.Spread(
+            f'move.fence/{move.move_id}',
+            membership_messages.SCOPE_EVERYWHERE,
+            fence,
+            const.FENCE_LIFETIME_MS,
+        )
+        return [
+            *noted,
+            effects.Publish(fence),
+            effects.Publish(spread),
+            *self._tell_control(fence),
+            effects.Report(
+                'fence_raised',
+                {'move': move.move_id, 'pool': move.pool, 'reason': fault},
+            ),
+        ]
+
+    def _repeat_fences(self) -> list[effects.Effect]:
+        # Control may have been out of reach when the fence was raised.
+        self._slices += 1
+        if self._slices % const.SLICES_PER_SUMMARY:
+            return []
+        step: list[effects.Effect] = []
+        for fence in self._fences.list_unrecorded(self._moves):
+            if self._find_collector(fence.pool) == self._name:
+                step.extend(self._tell_control(fence))
+        return step
+
+    def _tell_control(
+        self,
+        message: core_messages.Message,
+    ) -> list[effects.Effect]:
+        return [effects.Send(peer, message) for peer in self._control]
+
+    def _find_collector(self, pool: str) -> str:
+        return rendezvous.rank_members(pool, self._relays)[0]
+
+    def _keep_ticking(self, now: int) -> list[effects.Effect]:
+        unrecorded = self._fences.list_unrecorded(self._moves)
+        if self._ticking or not (self._watches or unrecorded):
+            return []
+        self._ticking = True
+        return [effects.SetTimer(_TIMER_SLICE, now + const.SLICE_MS)]
--- /dev/null
+++ b/shallotwharf/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurements of policies on a manual clock."""
--- /dev/null
+++ b/shallotwharf/measure/moves.py
@@ -0,0 +1,282 @@
+"""Measurement of moves: good versions in time, bad versions taken back.
+
+Run `python -m shallotwharf.measure.moves --help` for the options.
+"""
+
+import random
+import typing
+from collections import abc
+
+import typer
+
+from shallotwharf.components.move import const
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import version
+from shallotwharf.core import clock, records
+from shallotwharf.measure import move_cases, move_kinds, move_policies
+
+POLICY_TESTED: typing.Final = 'tested'
+POLICY_FIXED: typing.Final = 'fixed steps'
+
+_TICK_MS: typing.Final = 250
+_LIMIT_MS: typing.Final = (
+    move_cases.DUE_MS + const.WATCH_MS + 2 * clock.MINUTE_MS
+)
+_FULL: typing.Final = tables_const.FULL_SHARE
+
+
+class MoveRow(records.Record):
+    """Result of one move.
+
+    Attributes:
+        deployment: name of the deployment.
+        kind: name of the kind of version.
+        policy: one of the `POLICY_` names.
+        is_bad: whether it should be taken back.
+        in_time: whether the share was full everywhere by the due time.
+        taken_back: whether it was taken back.
+        calls_before: calls of the new version before its fault showed.
+        calls_after: calls of the new version from then on.
+    """
+
+    __slots__ = (
+        'deployment',
+        'kind',
+        'policy',
+        'is_bad',
+        'in_time',
+        'taken_back',
+        'calls_before',
+        'calls_after',
+    )
+
+    def __init__(
+        self,
+        deployment: str,
+        kind: str,
+        policy: str,
+        is_bad: bool,
+        in_time: bool,
+        taken_back: bool,
+        calls_before: int,
+        calls_after: int,
+    ) -> None:
+        self.deployment = deployment
+        self.kind = kind
+        self.policy = policy
+        self.is_bad = is_bad
+        self.in_time = in_time
+        self.taken_back = taken_back
+        self.calls_before = calls_before
+        self.calls_after = calls_after
+
+
+class _Run:
+    """Traffic of one move."""
+
+    __slots__ = (
+        'full_at',
+        'first_call_at',
+        'shown',
+        'calls_before',
+        'calls_after',
+        '_deployment',
+        '_behaviour',
+        '_policy',
+        '_source',
+        '_nodes',
+    )
+
+    def __init__(
+        self,
+        deployment: move_cases.Deployment,
+        behaviour: move_kinds.Behaviour,
+        policy: move_policies.Policy,
+        source: random.Random,
+    ) -> None:
+        self.full_at: int | None = None
+        self.first_call_at: int | None = None
+        self.shown = False
+        self.calls_before = 0
+        self.calls_after = 0
+        self._deployment = deployment
+        self._behaviour = behaviour
+        self._policy = policy
+        self._source = source
+        self._nodes = list(deployment.place_nodes())
+
+    def run(self) -> None:
+        """Run calls until the move has ended or the limit has passed."""
+        for at in range(0, _LIMIT_MS, _TICK_MS):
+            self._policy.advance(at)
+            shares = [self._policy.find_share(node) for node in self._nodes]
+            if min(shares) == _FULL and self.full_at is None:
+                self.full_at = at
+            if self._has_ended(shares):
+                return
+            self._send_calls(at, shares)
+
+    def _has_ended(self, shares: list[int]) -> bool:
+        state = self._policy.find_state()
+        if state == version.STATE_TAKEN_BACK:
+            return not any(shares)
+        return state == version.STATE_DONE
+
+    def _send_calls(self, at: int, shares: list[int]) -> None:
+        routes = list(self._deployment.routes)
+        weights = [weight for _, weight in self._deployment.routes.values()]
+        calls = self._draw_calls()
+        for route in self._source.choices(routes, weights, k=calls):
+            number = self._source.randrange(len(self._nodes))
+            is_new = self._source.random() * _FULL < shares[number]
+            self._send_call(at, route, number, is_new, shares[number])
+
+    def _send_call(
+        self,
+        at: int,
+        route: str,
+        number: int,
+        is_new: bool,
+        share: int,
+    ) -> None:
+        if is_new and self.first_call_at is None:
+            self.first_call_at = at
+        call = move_kinds.Call(
+            at,
+            route,
+            is_new,
+            at - (at if self.first_call_at is None else self.first_call_at),
+            share / _FULL,
+            -1 if self.full_at is None else at - self.full_at,
+        )
+        outcome = self._behaviour.run(call, self._source)
+        self.shown = self.shown or outcome.caused
+        if is_new and self.shown:
+            self.calls_after += 1
+        elif is_new:
+            self.calls_before += 1
+        self._policy.observe(self._nodes[number], call, outcome)
+
+    def _draw_calls(self) -> int:
+        rate = (
+            self._deployment.calls_per_second * self._behaviour.calls_part
+        ) / clock.SECOND_MS
+        calls = 0
+        waited_ms = self._source.expovariate(rate)
+        while waited_ms < _TICK_MS:
+            calls += 1
+            waited_ms += self._source.expovariate(rate)
+        return calls
+
+
+def measure_moves(seed: int, count: int) -> tuple[MoveRow, ...]:
+    """Run `count` moves of each kind, deployment and policy.
+
+    The rows of a seed are the same on each run.
+    """
+    rows = []
+    for deployment in move_cases.DEPLOYMENTS:
+        for kind, build in move_cases.list_kinds(deployment).items():
+            for number in range(count):
+                for policy in (POLICY_TESTED, POLICY_FIXED):
+                    text = f'{seed}/{deployment.name}/{kind}/{number}'
+                    source = random.Random(text)
+                    behaviour = build(source)
+                    rows.append(
+                        measure_move(
+                            deployment,
+                            kind,
+                            behaviour,
+                            policy,
+                            source,
+                        ),
+                    )
+    return tuple(rows)
+
+
+def measure_move(
+    deployment: move_cases.Deployment,
+    kind: str,
+    behaviour: move_kinds.Behaviour,
+    policy: str,
+    source: random.Random,
+) -> MoveRow:
+    """Run one move."""
+    run = _Run(
+        deployment,
+        behaviour,
+        _build_policy(policy, deployment, source),
+        source,
+    )
+    run.run()
+    state = run._policy.find_state()
+    in_time = run.full_at is not None and run.full_at <= move_cases.DUE_MS
+    return MoveRow(
+        deployment.name,
+        kind,
+        policy,
+        behaviour.is_bad,
+        in_time,
+        state == version.STATE_TAKEN_BACK,
+        run.calls_before,
+        run.calls_after,
+    )
+
+
+def _build_policy(
+    name: str,
+    deployment: move_cases.Deployment,
+    source: random.Random,
+) -> move_policies.Policy:
+    if name == POLICY_FIXED:
+        return move_policies.FixedSteps(move_cases.DUE_MS)
+    move = version.Move(
+        'move-1',
+        move_cases.POOL,
+        'old',
+        'new',
+        move_cases.DUE_MS,
+    )
+    return move_policies.Tested(
+        deployment.build_tables(),
+        move,
+        deployment.place_nodes(),
+        source,
+    )
+
+
+def format_rows(rows: abc.Sequence[MoveRow]) -> str:
+    """Return a table with one line a deployment, kind and policy."""
+    groups: dict[tuple[str, str, str], list[MoveRow]] = {}
+    for row in rows:
+        key = (row.deployment, row.kind, row.policy)
+        groups.setdefault(key, []).append(row)
+    header = (
+        f'{"deployment":10} {"version":24} {"policy":12} {"moves":>5} '
+        f'{"in time":>7} {"taken back":>10} {"calls before":>12} '
+        f'{"after, median":>13} {"after, max":>10}'
+    )
+    return '\n'.join([header, *map(_format_group, groups.values())])
+
+
+def _format_group(rows: list[MoveRow]) -> str:
+    first = rows[0]
+    after = sorted(row.calls_after for row in rows)
+    before = sorted(row.calls_before for row in rows)
+    in_time = sum(row.in_time for row in rows)
+    taken_back = sum(row.taken_back for row in rows)
+    middle = len(rows) // 2
+    return (
+        f'{first.deployment:10} {first.kind:24} {first.policy:12} '
+        f'{len(rows):5} {in_time:7} {taken_back:10} {before[middle]:12} '
+        f'{after[middle]:13} {after[-1]:10}'
+    )
+
+
+def main(seed: int = 1, count: int = 5) -> None:
+    """Print the results of `count` moves of each kind."""
+    typer.echo(format_rows(measure_moves(seed, count)))
+
+
+if __name__ == '__main__':
+    typer.run(main)
