Make the sequential test cheaper and complete the measurement's cases

Cause: the evidence was summed in logarithms on each look at it.

Change: the e-process is kept in linear scale, which underflows harmlessly since each restart lifts it; a trial remembers its fault. More kinds of versions are measured.

--- a/shallotwharf/components/move/comparison.py
+++ b/shallotwharf/components/move/comparison.py
@@ -8,7 +8,9 @@
 
 # The alternatives are that the odds are this many times those of the null
 # hypothesis.
-_MULTIPLES: typing.Final = (2.5, 8.0, 40.0, 400.0)
+_MULTIPLES: typing.Final = tuple(
+    (multiple, math.log(multiple)) for multiple in (2.5, 8, 40, 400)
+)
 # At the same time the odds of a failure may be half as high again as the old
 # version's; with the lowest multiple, a version is surely found from 2.5
 # times on and a good one is not found by its mere number of calls.
@@ -40,8 +42,8 @@
         self.absolute = eprocess.EProcess(len(_MULTIPLES))
 
     def read(self) -> float:
-        """Return the stronger evidence as a natural logarithm."""
-        return max(self.concurrent.read(), self.absolute.read())
+        """Return the stronger evidence."""
+        return max(self.concurrent.total, self.absolute.total)
 
 
 class Exposure:
@@ -67,6 +69,7 @@
         'old',
         'new',
         '_threshold',
+        '_needed',
         '_limit',
         '_exposure',
         '_tests',
@@ -77,6 +80,7 @@
         self.old = evidence.EMPTY_COUNTS
         self.new = evidence.EMPTY_COUNTS
         self._threshold = threshold
+        self._needed = math.exp(threshold)
         climb = threshold + math.log(len(_MULTIPLES))
         self._limit = climb / _SLICES_NEEDED
         self._exposure = Exposure()
@@ -92,42 +96,52 @@
         self.new = self.new.add(row.new)
         self._exposure.learn(row)
         self.reference.learn(row.old)
+        new_failures = row.new.read_failures()
+        old_failures = row.old.read_failures()
         for number, kind in enumerate(reference.KINDS):
             lenient = warming and kind.warm_up_rate > 0
-            if not lenient:
-                self._compare(number, row)
+            hits = new_failures[number]
+            total = hits + old_failures[number]
+            if total and not lenient:
+                self._compare(number, hits, total)
             if row.new.calls:
-                self._bound(number, row, lenient)
+                self._bound(number, hits, row.new.calls, lenient)
 
     def read_level(self) -> float:
-        """Return the evidence as a part of what takes a version back."""
-        return max(test.read() for test in self._tests) / self._threshold
+        """Return the evidence as a part of what takes a version back.
+
+        Both are taken as logarithms; without evidence it is 0.
+        """
+        highest = max(test.read() for test in self._tests)
+        return math.log(max(highest, 1)) / self._threshold
 
     def find_kind(self) -> reference.Kind | None:
         """Return the kind of failure that the new version is guilty of."""
         for kind, test in zip(reference.KINDS, self._tests, strict=True):
-            if test.read() >= self._threshold:
+            if test.read() >= self._needed:
                 return kind
         return None
 
-    def _compare(self, number: int, row: evidence.Row) -> None:
-        kind = reference.KINDS[number]
-        hits = kind.read(row.new)
-        total = hits + kind.read(row.old)
-        if total and self._exposure.old:
+    def _compare(self, number: int, hits: int, total: int) -> None:
+        if self._exposure.old:
             odds = _TOLERANCE * self._exposure.new / self._exposure.old
             self._tests[number].concurrent.update(
                 _weigh(hits, total, odds),
                 self._limit,
             )
 
-    def _bound(self, number: int, row: evidence.Row, lenient: bool) -> None:
-        kind = reference.KINDS[number]
+    def _bound(
+        self,
+        number: int,
+        hits: int,
+        calls: int,
+        lenient: bool,
+    ) -> None:
         rate = self.reference.bound_rate(number)
         if lenient:
-            rate = max(rate, kind.warm_up_rate)
+            rate = max(rate, reference.KINDS[number].warm_up_rate)
         self._tests[number].absolute.update(
-            _weigh(kind.read(row.new), row.new.calls, rate / (1 - rate)),
+            _weigh(hits, calls, rate / (1 - rate)),
             self._limit,
         )
 
@@ -135,8 +149,8 @@
 def _weigh(hits: int, total: int, odds: float) -> abc.Sequence[float]:
     # Logarithm of the likelihood ratio of `hits` in `total` draws whose odds
     # are `multiple * odds` instead of `odds`.
+    base = math.log1p(odds)
     return [
-        hits * math.log(multiple)
-        + total * math.log((1 + odds) / (1 + multiple * odds))
-        for multiple in _MULTIPLES
+        hits * logarithm - total * (math.log1p(multiple * odds) - base)
+        for multiple, logarithm in _MULTIPLES
     ]
--- a/shallotwharf/components/move/eprocess.py
+++ b/shallotwharf/components/move/eprocess.py
@@ -12,22 +12,26 @@
 # The restart weights sum to 1: half by the first term, half by the second.
 _HALF: typing.Final = 0.5
 _UNIFORM_RESTARTS: typing.Final = 10_000
+# Far above any threshold and far below the largest float.
+_MAX_VALUE: typing.Final = 1e100
 
 
 class EProcess:
-    """Evidence against a null hypothesis as the logarithm of an e-process.
+    """Evidence against a null hypothesis.
 
     The process is the sum over restarts k and alternatives j of
     `weight(k) / alternatives * product of the ratios of j since k`. Its
     expectation under the null hypothesis never exceeds 1, so that it passes
     `1 / alpha` with probability `alpha` at most, whenever it is looked at.
     The restarts forget old good evidence; a step costs constant work.
+    Underflow to 0 loses evidence only and the next restart lifts it again.
     """
 
-    __slots__ = ('_logs', '_restarts')
+    __slots__ = ('total', '_parts', '_restarts')
 
     def __init__(self, alternatives: int) -> None:
-        self._logs = [-math.inf for _ in range(alternatives)]
+        self.total: float = 0
+        self._parts: list[float] = [0 for _ in range(alternatives)]
         self._restarts = 0
 
     def update(self, ratios: abc.Sequence[float], limit: float) -> None:
@@ -37,20 +41,12 @@
         bounded.
         """
         self._restarts += 1
-        begun = math.log(_weigh_restart(self._restarts) / len(self._logs))
-        self._logs = [
-            _add_logs(known, begun) + min(ratio, limit)
-            for known, ratio in zip(self._logs, ratios, strict=True)
+        begun = _weigh_restart(self._restarts) / len(self._parts)
+        self._parts = [
+            min((part + begun) * math.exp(min(ratio, limit)), _MAX_VALUE)
+            for part, ratio in zip(self._parts, ratios, strict=True)
         ]
-
-    def read(self) -> float:
-        """Return the natural logarithm of the evidence."""
-        highest = max(self._logs)
-        if highest == -math.inf:
-            return highest
-        return highest + math.log(
-            math.fsum(math.exp(known - highest) for known in self._logs),
-        )
+        self.total = math.fsum(self._parts)
 
 
 def _weigh_restart(number: int) -> float:
@@ -58,8 +54,3 @@
     if number <= _UNIFORM_RESTARTS:
         weight += _HALF / _UNIFORM_RESTARTS
     return weight
-
-
-def _add_logs(left: float, right: float) -> float:
-    high, low = (left, right) if left > right else (right, left)
-    return high + math.log1p(math.exp(low - high))
--- a/shallotwharf/components/move/evidence.py
+++ b/shallotwharf/components/move/evidence.py
@@ -40,10 +40,9 @@
             self.crashes + other.crashes,
         )
 
-    @property
-    def failures(self) -> int:
-        """Return the calls that ended in any bad way."""
-        return self.errors + self.slow + self.crashes
+    def read_failures(self) -> tuple[int, int, int]:
+        """Return errors, slow answers and crashes."""
+        return (self.errors, self.slow, self.crashes)
 
 
 class Row(records.Record):
--- a/shallotwharf/components/move/progress.py
+++ b/shallotwharf/components/move/progress.py
@@ -92,7 +92,7 @@
         self.traffic.measure(evidence.find_overall(rows), now)
         if rows:
             self.trial.update(rows, now)
-            self.fault = self.fault or self.trial.find_fault()
+            self.fault = self.fault or self.trial.fault
 
     def plan(self) -> tuple[schedule.Step, ...]:
         """Return the steps that remain."""
--- a/shallotwharf/components/move/reference.py
+++ b/shallotwharf/components/move/reference.py
@@ -21,7 +21,8 @@
     """A way in which a call goes wrong.
 
     Attributes:
-        name: field of `evidence.Counts`.
+        name: field of `evidence.Counts`; the kinds are in the order of
+            `Counts.read_failures`.
         floor: rate that is harmless whatever the old version does.
         warm_up_rate: rate that is allowed during the warm-up; 0 for none.
     """
@@ -33,10 +34,6 @@
         self.floor = floor
         self.warm_up_rate = warm_up_rate
 
-    def read(self, counts: evidence.Counts) -> int:
-        """Return the calls that went wrong in this way."""
-        return int(getattr(counts, self.name))
-
 
 KINDS: typing.Final = (
     Kind('errors', 0.005, 0.2),  # noqa: WPS432
@@ -58,8 +55,12 @@
         """Fade what is known and add the counts of one slice."""
         self.calls = self.calls * _FADE + counts.calls
         self.failures = [
-            known * _FADE + kind.read(counts)
-            for known, kind in zip(self.failures, KINDS, strict=True)
+            known * _FADE + failed
+            for known, failed in zip(
+                self.failures,
+                counts.read_failures(),
+                strict=True,
+            )
         ]
 
 
@@ -92,12 +93,11 @@
 
     def bound_rate(self, number: int) -> float:
         """Return the rate allowed to the new version for a kind."""
-        kind = KINDS[number]
-        failures = kind.read(self.long_run)
+        failures = self.long_run.read_failures()[number]
         # Two standard deviations and two failures above the mean.
         upper = (failures + 2 + 2 * math.sqrt(failures + 1)) / (
             self.long_run.calls + 1
         )
         recent = self._recent.failures[number] / (self._recent.calls + 1)
         allowed = _TOLERANCE * max(upper, recent)
-        return min(max(allowed, kind.floor), _MAX_RATE)
+        return min(max(allowed, KINDS[number].floor), _MAX_RATE)
--- a/shallotwharf/components/move/tally.py
+++ b/shallotwharf/components/move/tally.py
@@ -103,9 +103,19 @@
 
 
 class PoolTally:
-    """Calls of a pool by route, while its move is under way."""
+    """Calls of a pool by route, while its move is under way.
 
-    __slots__ = ('_from_version', '_to_version', '_slow_ms', '_routes')
+    Attributes:
+        urgent: whether a call of the new version has failed since `take`.
+    """
+
+    __slots__ = (
+        'urgent',
+        '_from_version',
+        '_to_version',
+        '_slow_ms',
+        '_routes',
+    )
 
     def __init__(
         self,
@@ -113,6 +123,7 @@
         to_version: str,
         slow_ms: int,
     ) -> None:
+        self.urgent = False
         self._from_version = from_version
         self._to_version = to_version
         self._slow_ms = slow_ms
@@ -132,6 +143,8 @@
         slow = duration_ms > tally.limit.read()
         if version == self._to_version:
             tally.new.count(outcome, slow)
+            if slow or outcome != evidence.OUTCOME_ANSWERED:
+                self.urgent = True
         elif version == self._from_version:
             tally.old.count(outcome, slow)
             if outcome == evidence.OUTCOME_ANSWERED:
@@ -139,6 +152,7 @@
 
     def take(self) -> tuple[evidence.Row, ...]:
         """Return the rows with calls, the overall row first."""
+        self.urgent = False
         overall = evidence.EMPTY_ROW
         rows = []
         for route, tally in self._routes.items():
--- a/shallotwharf/components/move/verdict.py
+++ b/shallotwharf/components/move/verdict.py
@@ -18,13 +18,17 @@
 class Trial:
     """Evidence of one level: a node, a data centre or all of them.
 
-    Attributes:
+    Args:
         parts: how many trials share the false-positive rate of the level.
+
+    Attributes:
+        fault: the evidence that shows the version bad; empty if it is not.
     """
 
-    __slots__ = ('_threshold', '_comparisons', '_warm_until')
+    __slots__ = ('fault', '_threshold', '_comparisons', '_warm_until')
 
     def __init__(self, parts: int) -> None:
+        self.fault = ''
         self._threshold = math.log(
             const.LEVELS
             * parts
@@ -48,7 +52,11 @@
             if self._warm_until is None and row.new.calls:
                 self._warm_until = now + const.WARM_UP_MS
             warming = self._warm_until is None or now < self._warm_until
-            self._open(row.route).update(row, warming)
+            compared = self._open(row.route)
+            compared.update(row, warming)
+            kind = compared.find_kind()
+            if kind is not None:
+                self.fault = _describe(row.route, compared, kind)
 
     def learn_history(self, rows: abc.Iterable[evidence.Row]) -> None:
         """Add long-run counts of the old version from another trial."""
@@ -72,14 +80,6 @@
             compared.read_level() for compared in self._comparisons.values()
         )
 
-    def find_fault(self) -> str:
-        """Return the evidence that shows the version bad; else empty."""
-        for route, compared in self._comparisons.items():
-            kind = compared.find_kind()
-            if kind is not None:
-                return _describe(route, compared, kind)
-        return ''
-
     def _open(self, route: str) -> comparison.Comparison:
         known = self._comparisons.get(route)
         if known is None:
@@ -101,6 +101,6 @@
     new, old = compared.new, compared.old
     return (
         f'{kind.name} on {place}: '
-        f'new {kind.read(new)} of {new.calls} calls, '
-        f'old {kind.read(old)} of {old.calls}'
+        f'new {getattr(new, kind.name)} of {new.calls} calls, '
+        f'old {getattr(old, kind.name)} of {old.calls}'
     )
--- a/shallotwharf/components/move/watch.py
+++ b/shallotwharf/components/move/watch.py
@@ -46,9 +46,9 @@
 
 
 class Local:
-    """What a node sees itself, and what it still has to report."""
+    """What a node sees itself."""
 
-    __slots__ = ('calls', 'trial', '_unsent', '_slices', '_reported_to')
+    __slots__ = ('calls', 'trial', '_slices', '_reported_to')
 
     def __init__(self, move: version.Move, slow_ms: int) -> None:
         self.calls = tally.PoolTally(
@@ -57,24 +57,18 @@
             slow_ms,
         )
         self.trial = verdict.Trial(const.MAX_NODES)
-        self._unsent = evidence.Slice()
         self._slices = 0
         self._reported_to = ''
 
-    def close_slice(self, now: int) -> bool:
-        """Judge the last slice; return whether a report is due."""
+    def close_slice(self, now: int) -> tuple[evidence.Row, ...]:
+        """Judge and return the calls since the last report, if one is due."""
+        self._slices += 1
+        if self._slices % const.SLICES_PER_REPORT and not self.calls.urgent:
+            return ()
         rows = self.calls.take()
         if rows:
             self.trial.update(rows, now)
-            self._unsent.merge(rows)
-        self._slices += 1
-        if evidence.find_overall(rows).new.failures:
-            return True
-        return self._slices % const.SLICES_PER_REPORT == 0
-
-    def take_report(self) -> tuple[evidence.Row, ...]:
-        """Return the rows that were not reported yet."""
-        return self._unsent.take()
+        return rows
 
     def take_history(self, collector: str) -> tuple[evidence.Row, ...]:
         """Return what a collector lacks if it is a new one."""
@@ -138,9 +132,7 @@
 
     def find_fault(self) -> str:
         """Return the evidence that shows the new version bad; else empty."""
-        return (
-            self.collection.trial.find_fault() or self.local.trial.find_fault()
-        )
+        return self.collection.trial.fault or self.local.trial.fault
 
 
 def select_active(
--- a/shallotwharf/components/move/watcher.py
+++ b/shallotwharf/components/move/watcher.py
@@ -189,9 +189,7 @@
         watched: watch.Watch,
         now: int,
     ) -> list[effects.Effect]:
-        if not watched.local.close_slice(now):
-            return []
-        rows = watched.local.take_report()
+        rows = watched.local.close_slice(now)
         if not rows:
             return []
         collector = self._find_collector(watched.move.pool)
--- a/shallotwharf/measure/move_cases.py
+++ b/shallotwharf/measure/move_cases.py
@@ -1,6 +1,7 @@
 """Deployments and kinds of versions that the measurement covers."""
 
 import random
+import types
 import typing
 from collections import abc
 
@@ -11,7 +12,6 @@
 POOL: typing.Final = 'measured'
 DUE_MS: typing.Final = 10 * clock.MINUTE_MS
 _DATACENTRES: typing.Final = 6
-_MINUTE: typing.Final = clock.MINUTE_MS
 
 Factory: typing.TypeAlias = abc.Callable[
     [random.Random],
@@ -19,6 +19,21 @@
 ]
 
 
+# Faults and their sizes.
+_FAILING: typing.Final = move_kinds.Effects(errors=0.2)  # noqa: WPS432
+_FAILING_RARELY: typing.Final = move_kinds.Effects(errors=0.05)  # noqa: WPS432
+_FAILING_OFTEN: typing.Final = move_kinds.Effects(errors=0.5)
+_FAILING_ALWAYS: typing.Final = move_kinds.Effects(errors=1)
+_CRASHING: typing.Final = move_kinds.Effects(crashes=0.02)  # noqa: WPS432
+_SLOW: typing.Final = move_kinds.Effects(slowdown=4)
+_COLD: typing.Final = move_kinds.Effects(errors=0.1, slowdown=4)
+_FEW_CALLS: typing.Final = 0.01
+_SLIGHT_SLOWDOWN: typing.Final = 1.15
+# Loss of one of six targets.
+_VM_PART: typing.Final = 1 / 6
+_COLD_MS: typing.Final = clock.MINUTE_MS // 3
+
+
 class Deployment(records.Record):
     """Size and traffic of a deployment.
 
@@ -64,7 +79,7 @@
 
 VALBREMBO: typing.Final = Deployment(
     'Valbrembo',
-    13,
+    6 + 7,
     100,
     {
         'cut': ('confirmation', 10),
@@ -75,8 +90,8 @@
 )
 CAJOVNA: typing.Final = Deployment(
     'Čajovna',
-    12,
-    50,
+    6 + 6,
+    100 // 2,
     {
         'booking': ('confirmation', 10),
         'deposit': ('confirmation', 5),
@@ -89,69 +104,87 @@
 
 def list_kinds(deployment: Deployment) -> abc.Mapping[str, Factory]:
     """Return the factories of the versions' behaviours by kind."""
-    effects = move_kinds.Effects
     confirming = next(iter(deployment.routes))
     return {
+        **_GOOD,
+        **_BAD,
+        'bad on one route': lambda source: move_kinds.Bad(
+            _FAILING,
+            confirming,
+        ),
+    }
+
+
+def _draw(source: random.Random, low: int, high: int) -> int:
+    return source.randint(low * clock.MINUTE_MS, high * clock.MINUTE_MS)
+
+
+def _build_episode(
+    source: random.Random,
+    effects: move_kinds.Effects,
+) -> move_kinds.Behaviour:
+    begin_ms = _draw(source, 1, 6)
+    return move_kinds.GoodEpisode(
+        effects,
+        begin_ms,
+        begin_ms + clock.MINUTE_MS,
+    )
+
+
+_GOOD: typing.Final[abc.Mapping[str, Factory]] = types.MappingProxyType(
+    {
         'good': lambda source: move_kinds.Good(),
-        'good, 15% slower': lambda source: move_kinds.Good(1.15),
-        'good, few calls': lambda source: move_kinds.Good(calls_part=0.01),
-        'good, both slow': lambda source: _build_episode(
-            source,
-            effects(slowdown=8),
+        'good, 15% slower': lambda source: move_kinds.Good(_SLIGHT_SLOWDOWN),
+        'good, few calls': lambda source: move_kinds.Good(
+            calls_part=_FEW_CALLS,
         ),
-        'good, both failing': lambda source: _build_episode(
-            source,
-            effects(errors=0.3),
+        'good, both 5% errors': lambda source: move_kinds.GoodEpisode(
+            _FAILING_RARELY,
+            0,
+            clock.HOUR_MS,
         ),
+        'good, both slow': lambda source: _build_episode(source, _SLOW),
+        'good, both failing': lambda source: _build_episode(source, _FAILING),
         'good, cold start': lambda source: move_kinds.GoodColdStart(
-            effects(errors=0.1, slowdown=4),
-            clock.MINUTE_MS // 3,
+            _COLD,
+            _COLD_MS,
         ),
         'good, VM lost': lambda source: move_kinds.GoodLostVm(
-            source.randint(_MINUTE, 15 * _MINUTE),
-            1 / 6,
+            _draw(source, 1, 15),  # noqa: WPS432 (minutes)
+            _VM_PART,
         ),
-        'bad at once, 20% errors': lambda source: move_kinds.Bad(
-            effects(errors=0.2),
+    },
+)
+_BAD: typing.Final[abc.Mapping[str, Factory]] = types.MappingProxyType(
+    {
+        'bad at once, all errors': lambda source: move_kinds.Bad(
+            _FAILING_ALWAYS,
         ),
+        'bad at once, 20% errors': lambda source: move_kinds.Bad(_FAILING),
         'bad at once, 5% errors': lambda source: move_kinds.Bad(
-            effects(errors=0.05),
-        ),
-        'bad at once, all errors': lambda source: move_kinds.Bad(
-            effects(errors=1),
+            _FAILING_RARELY,
         ),
         'bad later': lambda source: move_kinds.BadLater(
-            effects(errors=0.2),
-            source.randint(_MINUTE, 7 * _MINUTE),
+            _FAILING,
+            _draw(source, 1, 7),
         ),
         'bad after full': lambda source: move_kinds.BadAfterFull(
-            effects(errors=0.2),
-            source.randint(0, 8 * _MINUTE),
+            _FAILING,
+            _draw(source, 0, 8),
         ),
         'slow after full': lambda source: move_kinds.BadAfterFull(
-            effects(slowdown=4),
-            source.randint(0, 8 * _MINUTE),
+            _SLOW,
+            _draw(source, 0, 8),
         ),
         'bad under load': lambda source: move_kinds.BadUnderLoad(
-            effects(errors=0.2),
-            source.choice((0.25, 0.5, 1)),
+            _FAILING,
+            source.choice((1 / 4, 1 / 2, 1)),
         ),
-        'bad on one route': lambda source: move_kinds.Bad(
-            effects(errors=0.3),
-            confirming,
-        ),
-        'slow only': lambda source: move_kinds.Bad(effects(slowdown=4)),
-        'crash only': lambda source: move_kinds.Bad(effects(crashes=0.02)),
+        'slow only': lambda source: move_kinds.Bad(_SLOW),
+        'crash only': lambda source: move_kinds.Bad(_CRASHING),
         'bad, few calls': lambda source: move_kinds.Bad(
-            effects(errors=0.5),
-            calls_part=0.01,
+            _FAILING_OFTEN,
+            calls_part=_FEW_CALLS,
         ),
-    }
-
-
-def _build_episode(
-    source: random.Random,
-    effects: move_kinds.Effects,
-) -> move_kinds.Behaviour:
-    begin_ms = source.randint(_MINUTE, 6 * _MINUTE)
-    return move_kinds.GoodEpisode(effects, begin_ms, begin_ms + _MINUTE)
+    },
+)
--- a/shallotwharf/measure/moves.py
+++ b/shallotwharf/measure/moves.py
@@ -5,15 +5,19 @@
 
 import random
 import typing
-from collections import abc
 
 import typer
 
 from shallotwharf.components.move import const
 from shallotwharf.components.tables import const as tables_const
 from shallotwharf.components.tables import version
-from shallotwharf.core import clock, records
-from shallotwharf.measure import move_cases, move_kinds, move_policies
+from shallotwharf.core import clock
+from shallotwharf.measure import (
+    move_cases,
+    move_kinds,
+    move_policies,
+    move_report,
+)
 
 POLICY_TESTED: typing.Final = 'tested'
 POLICY_FIXED: typing.Final = 'fixed steps'
@@ -25,52 +29,6 @@
 _FULL: typing.Final = tables_const.FULL_SHARE
 
 
-class MoveRow(records.Record):
-    """Result of one move.
-
-    Attributes:
-        deployment: name of the deployment.
-        kind: name of the kind of version.
-        policy: one of the `POLICY_` names.
-        is_bad: whether it should be taken back.
-        in_time: whether the share was full everywhere by the due time.
-        taken_back: whether it was taken back.
-        calls_before: calls of the new version before its fault showed.
-        calls_after: calls of the new version from then on.
-    """
-
-    __slots__ = (
-        'deployment',
-        'kind',
-        'policy',
-        'is_bad',
-        'in_time',
-        'taken_back',
-        'calls_before',
-        'calls_after',
-    )
-
-    def __init__(
-        self,
-        deployment: str,
-        kind: str,
-        policy: str,
-        is_bad: bool,
-        in_time: bool,
-        taken_back: bool,
-        calls_before: int,
-        calls_after: int,
-    ) -> None:
-        self.deployment = deployment
-        self.kind = kind
-        self.policy = policy
-        self.is_bad = is_bad
-        self.in_time = in_time
-        self.taken_back = taken_back
-        self.calls_before = calls_before
-        self.calls_after = calls_after
-
-
 class _Run:
     """Traffic of one move."""
 
@@ -145,9 +103,9 @@
             at,
             route,
             is_new,
-            at - (at if self.first_call_at is None else self.first_call_at),
+            _measure_since(self.first_call_at, at),
             share / _FULL,
-            -1 if self.full_at is None else at - self.full_at,
+            _measure_since(self.full_at, at),
         )
         outcome = self._behaviour.run(call, self._source)
         self.shown = self.shown or outcome.caused
@@ -169,7 +127,11 @@
         return calls
 
 
-def measure_moves(seed: int, count: int) -> tuple[MoveRow, ...]:
+def _measure_since(begun_at: int | None, at: int) -> int:
+    return -1 if begun_at is None else at - begun_at
+
+
+def measure_moves(seed: int, count: int) -> tuple[move_report.MoveRow, ...]:
     """Run `count` moves of each kind, deployment and policy.
 
     The rows of a seed are the same on each run.
@@ -177,16 +139,15 @@
     rows = []
     for deployment in move_cases.DEPLOYMENTS:
         for kind, build in move_cases.list_kinds(deployment).items():
-            for number in range(count):
-                for policy in (POLICY_TESTED, POLICY_FIXED):
+            for policy in (POLICY_TESTED, POLICY_FIXED):
+                for number in range(count):
                     text = f'{seed}/{deployment.name}/{kind}/{number}'
                     source = random.Random(text)
-                    behaviour = build(source)
                     rows.append(
                         measure_move(
                             deployment,
                             kind,
-                            behaviour,
+                            build(source),
                             policy,
                             source,
                         ),
@@ -200,7 +161,7 @@
     behaviour: move_kinds.Behaviour,
     policy: str,
     source: random.Random,
-) -> MoveRow:
+) -> move_report.MoveRow:
     """Run one move."""
     run = _Run(
         deployment,
@@ -211,7 +172,7 @@
     run.run()
     state = run._policy.find_state()
     in_time = run.full_at is not None and run.full_at <= move_cases.DUE_MS
-    return MoveRow(
+    return move_report.MoveRow(
         deployment.name,
         kind,
         policy,
@@ -245,37 +206,9 @@
     )
 
 
-def format_rows(rows: abc.Sequence[MoveRow]) -> str:
-    """Return a table with one line a deployment, kind and policy."""
-    groups: dict[tuple[str, str, str], list[MoveRow]] = {}
-    for row in rows:
-        key = (row.deployment, row.kind, row.policy)
-        groups.setdefault(key, []).append(row)
-    header = (
-        f'{"deployment":10} {"version":24} {"policy":12} {"moves":>5} '
-        f'{"in time":>7} {"taken back":>10} {"calls before":>12} '
-        f'{"after, median":>13} {"after, max":>10}'
-    )
-    return '\n'.join([header, *map(_format_group, groups.values())])
-
-
-def _format_group(rows: list[MoveRow]) -> str:
-    first = rows[0]
-    after = sorted(row.calls_after for row in rows)
-    before = sorted(row.calls_before for row in rows)
-    in_time = sum(row.in_time for row in rows)
-    taken_back = sum(row.taken_back for row in rows)
-    middle = len(rows) // 2
-    return (
-        f'{first.deployment:10} {first.kind:24} {first.policy:12} '
-        f'{len(rows):5} {in_time:7} {taken_back:10} {before[middle]:12} '
-        f'{after[middle]:13} {after[-1]:10}'
-    )
-
-
 def main(seed: int = 1, count: int = 5) -> None:
     """Print the results of `count` moves of each kind."""
-    typer.echo(format_rows(measure_moves(seed, count)))
+    typer.echo(move_report.format_rows(measure_moves(seed, count)))
 
 
 if __name__ == '__main__':
