--- /dev/null
+++ b/shallotwharf/measure/move_cases.py
@@ -0,0 +1,190 @@
+"""Deployments and kinds of versions that the measurement covers."""
+
+import random
+import types
+import typing
+from collections import abc
+
+from shallotwharf.components.tables import pool, route, version
+from shallotwharf.core import clock, records
+from shallotwharf.measure import move_kinds
+
+POOL: typing.Final = 'measured'
+DUE_MS: typing.Final = 10 * clock.MINUTE_MS
+_DATACENTRES: typing.Final = 6
+
+Factory: typing.TypeAlias = abc.Callable[
+    [random.Random],
+    move_kinds.Behaviour,
+]
+
+
+# Faults and their sizes.
+_FAILING: typing.Final = move_kinds.Effects(errors=0.2)  # noqa: WPS432
+_FAILING_RARELY: typing.Final = move_kinds.Effects(errors=0.05)  # noqa: WPS432
+_FAILING_OFTEN: typing.Final = move_kinds.Effects(errors=0.5)
+_FAILING_ALWAYS: typing.Final = move_kinds.Effects(errors=1)
+_CRASHING: typing.Final = move_kinds.Effects(crashes=0.02)  # noqa: WPS432
+_SLOW: typing.Final = move_kinds.Effects(slowdown=4)
+_COLD: typing.Final = move_kinds.Effects(errors=0.1, slowdown=4)
+_FEW_CALLS: typing.Final = 0.01
+_SLIGHT_SLOWDOWN: typing.Final = 1.15
+# Loss of one of six targets.
+_VM_PART: typing.Final = 1 / 6
+_COLD_MS: typing.Final = clock.MINUTE_MS // 3
+
+
+class Deployment(records.Record):
+    """Size and traffic of a deployment.
+
+    Attributes:
+        name: name of the deployment.
+        nodes: targets of both services, each with its node.
+        calls_per_second: of the pool that is moved; an assumption, about
+            a tenth of what the slots can do.
+        routes: priority and weight of each route by its name.
+    """
+
+    __slots__ = ('name', 'nodes', 'calls_per_second', 'routes')
+
+    def __init__(
+        self,
+        name: str,
+        nodes: int,
+        calls_per_second: int,
+        routes: abc.Mapping[str, tuple[str, int]],
+    ) -> None:
+        self.name = name
+        self.nodes = nodes
+        self.calls_per_second = calls_per_second
+        self.routes = routes
+
+    def build_tables(self) -> version.Tables:
+        """Return the tables of the deployment."""
+        return version.Tables(
+            tuple(
+                route.Route(name, f'/{name}', ('GET',), POOL, priority)
+                for name, (priority, _) in self.routes.items()
+            ),
+            (pool.Pool(POOL, 'service', {'old': 100}),),
+        )
+
+    def place_nodes(self) -> dict[str, str]:
+        """Return the data centre of each node."""
+        return {
+            f'node-{number}': f'datacentre-{number % _DATACENTRES}'
+            for number in range(self.nodes)
+        }
+
+
+VALBREMBO: typing.Final = Deployment(
+    'Valbrembo',
+    6 + 7,
+    100,
+    {
+        'cut': ('confirmation', 10),
+        'pattern': ('download', 10),
+        'lookup': ('internal', 20),
+        'status': ('browsing', 60),
+    },
+)
+CAJOVNA: typing.Final = Deployment(
+    'Čajovna',
+    6 + 6,
+    100 // 2,
+    {
+        'booking': ('confirmation', 10),
+        'deposit': ('confirmation', 5),
+        'availability': ('internal', 20),
+        'menu': ('browsing', 65),
+    },
+)
+DEPLOYMENTS: typing.Final = (VALBREMBO, CAJOVNA)
+
+
+def list_kinds(deployment: Deployment) -> abc.Mapping[str, Factory]:
+    """Return the factories of the versions' behaviours by kind."""
+    confirming = next(iter(deployment.routes))
+    return {
+        **_GOOD,
+        **_BAD,
+        'bad on one route': lambda source: move_kinds.Bad(
+            _FAILING,
+            confirming,
+        ),
+    }
+
+
+def _draw(source: random.Random, low: int, high: int) -> int:
+    return source.randint(low * clock.MINUTE_MS, high * clock.MINUTE_MS)
+
+
+def _build_episode(
+    source: random.Random,
+    effects: move_kinds.Effects,
+) -> move_kinds.Behaviour:
+    begin_ms = _draw(source, 1, 6)
+    return move_kinds.GoodEpisode(
+        effects,
+        begin_ms,
+        begin_ms + clock.MINUTE_MS,
+    )
+
+
+_GOOD: typing.Final[abc.Mapping[str, Factory]] = types.MappingProxyType(
+    {
+        'good': lambda source: move_kinds.Good(),
+        'good, 15% slower': lambda source: move_kinds.Good(_SLIGHT_SLOWDOWN),
+        'good, few calls': lambda source: move_kinds.Good(
+            calls_part=_FEW_CALLS,
+        ),
+        'good, both 5% errors': lambda source: move_kinds.GoodEpisode(
+            _FAILING_RARELY,
+            0,
+            clock.HOUR_MS,
+        ),
+        'good, both slow': lambda source: _build_episode(source, _SLOW),
+        'good, both failing': lambda source: _build_episode(source, _FAILING),
+        'good, cold start': lambda source: move_kinds.GoodColdStart(
+            _COLD,
+            _COLD_MS,
+        ),
+        'good, VM lost': lambda source: move_kinds.GoodLostVm(
+            _draw(source, 1, 15),  # noqa: WPS432 (minutes)
+            _VM_PART,
+        ),
+    },
+)
+_BAD: typing.Final[abc.Mapping[str, Factory]] = types.MappingProxyType(
+    {
+        'bad at once, all errors': lambda source: move_kinds.Bad(
+            _FAILING_ALWAYS,
+        ),
+        'bad at once, 20% errors': lambda source: move_kinds.Bad(_FAILING),
+        'bad at once, 5% errors': lambda source: move_kinds.Bad(
+            _FAILING_RARELY,
+        ),
+        'bad later': lambda source: move_kinds.BadLater(
+            _FAILING,
+            _draw(source, 1, 7),
+        ),
+        'bad after full': lambda source: move_kinds.BadAfterFull(
+            _FAILING,
+            _draw(source, 0, 8),
+        ),
+        'slow after full': lambda source: move_kinds.BadAfterFull(
+            _SLOW,
+            _draw(source, 0, 8),
+        ),
+        'bad under load': lambda source: move_kinds.BadUnderLoad(
+            _FAILING,
+            source.choice((1 / 4, 1 / 2, 1)),
+        ),
+        'slow only': lambda source: move_kinds.Bad(_SLOW),
+        'crash only': lambda source: move_kinds.Bad(_CRASHING),
+        'bad, few calls': lambda source: move_kinds.Bad(
+            _FAILING_OFTEN,
+            calls_part=_FEW_CALLS,
+        ),
+    },
+)
