Wire moves into control and node; ask the next control process when one is down

Cause: the curl client raises an exception of its own for a failed connection, even when told not to raise, so that a command failed with a traceback whenever the first control process in its list was down.

Change: a failed connection is a LinkError and the next address is asked. Nodes hand results of calls to the watcher of moves, control steps moves, and `moves` shows them.

--- a/shallotwharf/cli/client.py
+++ b/shallotwharf/cli/client.py
@@ -14,7 +14,6 @@
 _REQUEST_SECONDS: typing.Final = 15
 _STEP: typing.Final = 'client.request'
 _HTTP_UNAVAILABLE: typing.Final = 503
-_HTTP_NO_CONNECTION: typing.Final = 599
 
 
 class Reply(records.Record):
@@ -102,10 +101,11 @@
             ),
             raise_error=False,
         )
+    except httpclient.HTTPError as error:
+        # The curl client raises for a failed connection all the same.
+        raise errors.LinkError(str(error), _STEP, url) from error
     finally:
         fetcher.close()
-    if answer.code == _HTTP_NO_CONNECTION:
-        raise errors.LinkError(str(answer.error), _STEP, url)
     try:
         return Reply(answer.code, json.loads(answer.body))
     except ValueError as error:
--- a/shallotwharf/components/call/rules.py
+++ b/shallotwharf/components/call/rules.py
@@ -40,7 +40,9 @@
 _ANSWERED = Rule(_FINAL, _RAN, 0, calls.OBSERVED_OK)
 _REFUSED = Rule(_RETRY, _NOT_RUN, const.STATUS_UNAVAILABLE, '')
 _UNREACHED = Rule(_RETRY, _NOT_RUN, const.STATUS_UNAVAILABLE, '')
-_LATE = Rule(_FINAL, _RAN, const.STATUS_TIMEOUT, calls.OBSERVED_SLOW)
+# A deadline may be shorter than the time from which the pool counts an answer
+# as slow, so that a version which never answers must show as failing.
+_LATE = Rule(_FINAL, _RAN, const.STATUS_TIMEOUT, calls.OBSERVED_ERROR)
 _CANCELLED = Rule(_FINAL, _RAN, const.STATUS_TIMEOUT, '')
 
 # By outcome, and whether a second run does no harm.
--- a/shallotwharf/roles/control/api.py
+++ b/shallotwharf/roles/control/api.py
@@ -6,6 +6,7 @@
 from shallotwharf.components.delivery import feed
 from shallotwharf.components.ledger import ledger
 from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.move import director
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.replica import replica
 from shallotwharf.components.tables import version
@@ -21,21 +22,23 @@
 class ControlAggregates:
     """The aggregates of a control process."""
 
-    __slots__ = ('replica', 'ledger', 'feed')
+    __slots__ = ('replica', 'ledger', 'feed', 'director')
 
     def __init__(
         self,
         control_replica: replica.Replica,
         control_ledger: ledger.Ledger,
         control_feed: feed.Feed,
+        control_director: director.Director,
     ) -> None:
         self.replica = control_replica
         self.ledger = control_ledger
         self.feed = control_feed
+        self.director = control_director
 
     def list_all(self) -> tuple[aggregate.Aggregate, ...]:
         """Return all; those that consume events before their sources."""
-        return (self.ledger, self.feed, self.replica)
+        return (self.ledger, self.feed, self.director, self.replica)
 
 
 class ControlApi:
@@ -65,6 +68,7 @@
             ('GET', '/metrics'): self.async_read_metrics,
             ('GET', '/v1/tables'): self.async_read_tables,
             ('GET', '/v1/status'): self.async_read_status,
+            ('GET', '/v1/moves'): self.async_read_moves,
             ('GET', '/v1/history'): self.async_read_history,
             ('POST', '/v1/edits'): self.async_edit,
             ('POST', '/v1/reverts'): self.async_revert,
@@ -123,6 +127,21 @@
             {'leader': status.leader} | views.describe_summary(where),
         )
 
+    async def async_read_moves(
+        self,
+        _request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Tell how far each move is."""
+        reply = self._check_leading()
+        if reply is not None:
+            return reply
+        current = self._aggregates.ledger.current
+        rows = [
+            views.describe_move(status, current)
+            for status in self._aggregates.director.list_statuses()
+        ]
+        return admin.AdminReply(views.HTTP_OK, {'moves': rows})
+
     async def async_read_history(
         self,
         _request: admin.AdminRequest,
--- a/shallotwharf/roles/control/process.py
+++ b/shallotwharf/roles/control/process.py
@@ -7,6 +7,7 @@
 from shallotwharf.components.delivery import feed
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.ledger import ledger
+from shallotwharf.components.move import director
 from shallotwharf.components.replica import replica
 from shallotwharf.core import logs, messages
 from shallotwharf.roles import process
@@ -98,6 +99,7 @@
             settings.datacentres,
             source,
         ),
+        director.Director(frame.clock, settings.datacentres),
     )
 
 
--- a/shallotwharf/roles/control/views.py
+++ b/shallotwharf/roles/control/views.py
@@ -7,6 +7,7 @@
 from shallotwharf.components.delivery import summary
 from shallotwharf.components.ledger import history
 from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.move import messages as move_messages
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.replica import status as replica_status
 from shallotwharf.components.tables import document, version
@@ -17,6 +18,7 @@
 _HTTP_CONFLICT: typing.Final = 409
 _HTTP_REFUSED: typing.Final = 422
 _HTTP_UNAVAILABLE: typing.Final = 503
+_SHARES_PER_PERCENT: typing.Final = 100
 _NUMBER: typing.Final = 'number'
 _REASON: typing.Final = 'reason'
 
@@ -152,6 +154,25 @@
     return f'nodes={nodes}'
 
 
+def describe_move(
+    status: move_messages.MoveStatus,
+    current: version.Version,
+) -> dict[str, typing.Any]:
+    """Return how far a move is."""
+    move = current.find_move(status.pool)
+    return {
+        'pool': status.pool,
+        'move_id': status.move_id,
+        'from': move.from_version if move else '',
+        'to': move.to_version if move else '',
+        'state': status.status,
+        'share': f'{status.share / _SHARES_PER_PERCENT:g}%',
+        'due': _format_time(status.due_at),
+        'forecast': _format_time(status.forecast_at),
+        _REASON: status.detail,
+    }
+
+
 def describe_row(row: history.HistoryRow) -> dict[str, typing.Any]:
     """Return a row of the history."""
     return {
--- /dev/null
+++ b/shallotwharf/roles/node/observer.py
@@ -0,0 +1,41 @@
+"""Results of calls as evidence of moves."""
+
+import types
+import typing
+
+from shallotwharf.components.move import evidence, watcher
+from shallotwharf.core import callports, calls
+
+# A slow answer is judged by its duration, against that of the old version.
+_OUTCOMES: typing.Final = types.MappingProxyType(
+    {
+        calls.OBSERVED_OK: evidence.OUTCOME_ANSWERED,
+        calls.OBSERVED_ERROR: evidence.OUTCOME_ERROR,
+        calls.OBSERVED_SLOW: evidence.OUTCOME_ANSWERED,
+        calls.OBSERVED_CRASH: evidence.OUTCOME_CRASH,
+    },
+)
+
+
+class WatchingObserver(callports.Observer):
+    """Hands each result to the watcher of moves."""
+
+    __slots__ = ('_watcher',)
+
+    def __init__(self, move_watcher: watcher.Watcher) -> None:
+        self._watcher = move_watcher
+
+    def observe(
+        self,
+        observation: callports.Observation,
+        now: int,
+    ) -> None:
+        """Count a result."""
+        self._watcher.observe(
+            observation.route,
+            observation.pool,
+            observation.version,
+            _OUTCOMES[observation.outcome],
+            observation.duration_ms,
+            now,
+        )
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -9,12 +9,13 @@
 from shallotwharf.components.delivery import relay, subscriber
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.move import watcher
 from shallotwharf.components.upstream import gate
 from shallotwharf.components.upstream import messages as upstream_messages
 from shallotwharf.components.upstream import settings as gate_settings
 from shallotwharf.core import callports, logs
 from shallotwharf.roles import callpath, process
-from shallotwharf.roles.node import addresses, api
+from shallotwharf.roles.node import addresses, api, observer
 from shallotwharf.roles.settings import model
 
 # Longest time that a shutdown waits for calls in flight.
@@ -98,12 +99,18 @@
         for peer in settings.control
     )
     names = tuple(peer.name for peer in settings.control)
+    move_watcher = watcher.Watcher(
+        settings.name,
+        settings.datacentre,
+        names,
+        started_at,
+    )
     return api.NodeAggregates(
         caller.Caller(
             member,
             uuid.uuid4().hex[:8],
             frame.random,
-            callports.NullObserver(),
+            observer.WatchingObserver(move_watcher),
         ),
         gate.Gate(
             member,
@@ -114,6 +121,7 @@
         subscriber.Subscriber(member, control, frame.random),
         (
             addresses.AddressBook(frame.links),
+            move_watcher,
             relay.Relay(member, control, frame.random),
             membership.Membership(
                 member,
