--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -154,9 +154,9 @@
         if reply is not None:
             return reply
         reply = self._find_objection(command, tables)
-        if reply is None and tables is not None:
-            reply = self._accept_tables(command, tables, kind)
-        assert reply is not None
+        if reply is None:
+            accepted = typing.cast(version.Tables, tables)
+            reply = self._accept_tables(command, accepted, kind)
         self._book.add(
             requests.RequestRecord(
                 command.request_id,
--- a/tests/components/replica/groups.py
+++ b/tests/components/replica/groups.py
@@ -235,10 +235,14 @@
             known = self.digests.get(current.number)
             assert current.number == 0 or known, f'{name}: unknown version'
 
-    def recover(self):
-        """End all faults; wait until all agree; check what was answered."""
+    def calm(self):
         self.cluster.heal()
         self.cluster.loss = self.cluster.duplicate = 0
+        self.cluster.delay_ms = (1, 15)
+
+    def recover(self):
+        """End all faults; wait until all agree; check what was answered."""
+        self.calm()
         for name in self.names:
             self.folders[name].full = False
             self.folders[name].crash_in = None
--- a/tests/components/replica/test_machine.py
+++ b/tests/components/replica/test_machine.py
@@ -10,7 +10,6 @@
 
 from tests.components.replica import groups
 
-SECOND_MS = 1000
 PICK = strategies.integers(0, 10**6)
 
 
@@ -24,86 +23,101 @@
         self.lost = 0
 
     def pick(self, number):
-        return self.group.names[number % len(self.group.names)]
+        return self.names[number % len(self.names)]
+
+    def choose(self, number):
+        """Return the leader mostly, otherwise any process that is up."""
+        leader = self.group.find_leader()
+        if leader and number % 4:
+            return leader
+        up = [name for name in self.names if self.group.is_up(name)]
+        return up[number % len(up)] if up else None
 
     @stateful.rule(duration=strategies.sampled_from((50, 300, 1200, 4000)))
     def run(self, duration):
         self.group.run(duration)
 
-    @stateful.rule(number=PICK, stale=strategies.integers(0, 2))
-    def edit(self, number, stale):
-        name = self.group.find_leader() or self.pick(number)
-        if self.group.is_up(name):
-            base = self.group.ledgers[name].current.number
-            self.group.edit(name, max(base - stale, 0))
-
-    @stateful.rule(number=PICK, other=PICK)
-    def resend(self, number, other):
+    @stateful.rule(
+        count=strategies.integers(1, 8),
+        number=PICK,
+        pause=strategies.sampled_from((0, 10, 60, 400)),
+    )
+    def work(self, count, number, pause):
+        """Send edits, some of them on a base that is no longer current."""
+        for sent in range(count):
+            name = self.choose(number + sent)
+            if name:
+                base = self.group.ledgers[name].current.number
+                self.group.edit(name, max(base - sent % 3 // 2, 0))
+            if pause:
+                self.group.run(pause, pause)
+
+    @stateful.rule(numbers=strategies.lists(PICK, min_size=1, max_size=6))
+    def resend(self, numbers):
         sent = list(self.group.edits)
-        name = self.group.find_leader() or self.pick(other)
-        if sent and self.group.is_up(name):
-            self.group.resend(name, sent[number % len(sent)])
-
-    @stateful.rule(number=PICK)
-    def cut_leader(self, number):
-        leader = self.group.find_leader() or self.pick(number)
-        self.group.cluster.cut([leader], set(self.group.names) - {leader})
-
-    @stateful.rule(mask=strategies.integers(1, 30))
-    def cut(self, mask):
-        names = self.group.names
-        left = [n for place, n in enumerate(names) if mask >> place & 1]
-        self.group.cluster.cut(left, set(names) - set(left))
-
-    @stateful.rule()
-    def heal(self):
-        self.group.cluster.heal()
+        for number in numbers:
+            name = self.choose(number)
+            if sent and name:
+                self.group.resend(name, sent[number % len(sent)])
 
     @stateful.rule(
-        loss=strategies.sampled_from((0, 0.1, 0.4)),
-        duplicate=strategies.sampled_from((0, 0.2)),
-        delay=strategies.sampled_from(((1, 15), (1, 200), (12, 13))),
+        kind=strategies.sampled_from(
+            ('cut', 'cut_leader', 'disturb', 'freeze', 'kill', 'crash', 'fill'),
+        ),
+        number=PICK,
+        leader=strategies.booleans(),
     )
-    def disturb(self, loss, duplicate, delay):
-        self.group.cluster.loss = loss
-        self.group.cluster.duplicate = duplicate
-        self.group.cluster.delay_ms = delay
+    def harm(self, kind, number, leader):
+        name = leader and self.group.find_leader() or self.pick(number)
+        getattr(self, kind)(name, number)
 
-    @stateful.rule(number=PICK)
-    def freeze(self, number):
-        if self.group.is_up(self.pick(number)):
-            self.group.cluster.freeze(self.pick(number))
+    def cut(self, name, number):
+        left = {n for place, n in enumerate(self.names) if number >> place & 1}
+        self.group.cluster.cut(left, set(self.names) - left)
 
-    @stateful.rule(number=PICK)
-    def thaw(self, number):
-        if self.group.is_frozen(self.pick(number)):
-            self.group.thaw(self.pick(number))
-            self.group.check()
+    def cut_leader(self, name, number):
+        self.group.cluster.cut([name], set(self.names) - {name})
 
-    @stateful.rule(number=PICK)
-    def kill(self, number):
-        if self.group.is_up(self.pick(number)):
-            self.group.kill(self.pick(number))
+    def disturb(self, name, number):
+        self.group.cluster.loss = (0.05, 0.2, 0.5)[number % 3]
+        self.group.cluster.duplicate = (0, 0.3)[number % 2]
+        self.group.cluster.delay_ms = ((1, 200), (12, 13), (1, 60))[number % 3]
 
-    @stateful.rule(number=PICK, operations=strategies.integers(0, 8))
-    def crash_in_store(self, number, operations):
-        self.group.folders[self.pick(number)].crash_in = operations
+    def freeze(self, name, number):
+        if self.group.is_up(name):
+            self.group.cluster.freeze(name)
 
-    @stateful.rule(number=PICK)
-    def restart(self, number):
-        if not self.group.is_up(self.pick(number)):
-            self.group.start(self.pick(number))
+    def kill(self, name, number):
+        if self.group.is_up(name):
+            self.group.kill(name)
+
+    def crash(self, name, number):
+        self.group.folders[name].crash_in = number % 8
+
+    def fill(self, name, number):
+        self.group.folders[name].full = True
 
-    @stateful.rule(number=PICK, full=strategies.booleans())
-    def fill(self, number, full):
-        self.group.folders[self.pick(number)].full = full
+    @stateful.rule(
+        kind=strategies.sampled_from(('network', 'process', 'disk')),
+        number=PICK,
+    )
+    def mend(self, kind, number):
+        name = self.pick(number)
+        if kind == 'network':
+            self.group.calm()
+        elif kind == 'disk':
+            self.group.folders[name].full = False
+        elif self.group.is_frozen(name):
+            self.group.thaw(name)
+        elif not self.group.is_up(name):
+            self.group.start(name)
 
     @stateful.rule(number=PICK)
     def wipe(self, number):
         # More disks than a minority at once are beyond repair.
         if self.group.is_whole():
             self.lost = 0
-        if self.lost < (len(self.group.names) - 1) // 2:
+        if self.lost < (len(self.names) - 1) // 2:
             self.lost += 1
             self.group.wipe(self.pick(number))
 
