--- a/shallotwharf/components/delivery/claims.py
+++ b/shallotwharf/components/delivery/claims.py
@@ -24,13 +24,13 @@
                 self._claims.pop(relay)
 
     def receive(self, relay: str, claim: exchange.RelayHolds) -> bool:
-        """Note a claim; return whether it is the relay's first."""
+        """Note a claim; return whether it is the first of its epoch."""
         known = self._claims.get(relay)
         if known is None or known.epoch != claim.epoch:
             self._claims[relay] = claim
-        else:
-            self._claims[relay] = _merge_claims(known, claim)
-        return known is None
+            return True
+        self._claims[relay] = _merge_claims(known, claim)
+        return False
 
     def read_stamp(self, relay: str) -> int:
         """Return the last stamp of a relay; 0 if none."""
--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -41,6 +41,8 @@
 
 REPORT_BEAT_MS: typing.Final = 2000
 REPORT_SPACING_MS: typing.Final = 200
+# A relay that misses two heartbeats is no relay any more.
+RELAY_SILENCE_MS: typing.Final = 2 * REPORT_BEAT_MS
 # Older reports do not count as knowledge of a data centre.
 REPORT_EXPIRY_MS: typing.Final = 10_000
 
--- a/shallotwharf/components/delivery/group.py
+++ b/shallotwharf/components/delivery/group.py
@@ -30,9 +30,17 @@
         candidate: a process of this name that has yet to prove that it is
             newer; 0 if none.
         stamp: last stamp that was addressed to the own process.
+        stamped_by: process that issued it.
     """
 
-    __slots__ = ('state', 'heard_at', 'proof', 'candidate', 'stamp')
+    __slots__ = (
+        'state',
+        'heard_at',
+        'proof',
+        'candidate',
+        'stamp',
+        'stamped_by',
+    )
 
     def __init__(self, proof: int) -> None:
         self.state: exchange.RelayState | None = None
@@ -40,6 +48,14 @@
         self.proof = proof
         self.candidate = 0
         self.stamp = 0
+        self.stamped_by = 0
+
+    def note_stamp(self, state: exchange.RelayState) -> None:
+        """Note a stamp to return; those of one process grow."""
+        if state.incarnation != self.stamped_by:
+            self.stamped_by = state.incarnation
+            self.stamp = 0
+        self.stamp = max(self.stamp, state.stamp)
 
     def read_incarnation(self) -> int:
         """Return the process that the next message is addressed to."""
@@ -143,7 +159,7 @@
         if fellow is None:
             return False
         if state.seen == self._incarnation:
-            fellow.stamp = max(fellow.stamp, state.stamp)
+            fellow.note_stamp(state)
         if not self._accepts(fellow, state):
             known = fellow.read_incarnation()
             fellow.candidate = state.incarnation
--- a/shallotwharf/components/delivery/reporter.py
+++ b/shallotwharf/components/delivery/reporter.py
@@ -68,6 +68,9 @@
         now: int,
     ) -> None:
         """Note the stamp for the next report and what was noted."""
+        if sender not in self._stamps:
+            # Reports without a stamp do not count; send one that does.
+            self._reported = -1
         self._stamps[sender] = max(
             self._stamps.get(sender, 0),
             status.stamp,
--- a/shallotwharf/components/delivery/summary.py
+++ b/shallotwharf/components/delivery/summary.py
@@ -75,22 +75,23 @@
 
 
 class _Report:
-    __slots__ = ('content', 'taken_at')
+    __slots__ = ('content', 'taken_at', 'received_at')
 
     def __init__(
         self,
         content: messages.DatacentreReport,
-        taken_at: int,
+        received_at: int,
     ) -> None:
         self.content = content
-        self.taken_at = taken_at
+        self.taken_at = content.echo - content.age_ms
+        self.received_at = received_at
 
 
 class Reports:
     """The last report of each relay, by data centre.
 
     The relays of a data centre may differ for a while. Of those that
-    reported lately, the least favourable counts.
+    report, the least favourable counts.
     """
 
     __slots__ = ('_datacentres', '_held')
@@ -119,12 +120,11 @@
         )
         if not 0 < report.echo <= now:
             return
-        taken_at = report.echo - report.age_ms
         relays = self._datacentres.setdefault(report.datacentre, {})
         known = relays.get(relay)
         if known is None or known.content.echo <= report.echo:
-            relays[relay] = _Report(report, taken_at)
-        self._drop_expired(relays, now)
+            relays[relay] = _Report(report, now)
+        _drop_silent(relays, now)
 
     def find_held(self, datacentre: str) -> int:
         """Return the highest version that any relay ever reported to hold."""
@@ -169,10 +169,12 @@
             now - min(report.taken_at for report in counted),
         )
 
-    def _drop_expired(self, relays: dict[str, _Report], now: int) -> None:
-        for relay, report in list(relays.items()):
-            if len(relays) > 1 and not _is_fresh(report, now):
-                relays.pop(relay)
+
+def _drop_silent(relays: dict[str, _Report], now: int) -> None:
+    """Forget relays that miss their heartbeat while others report."""
+    for relay, report in list(relays.items()):
+        if now - report.received_at > const.RELAY_SILENCE_MS:
+            relays.pop(relay)
 
 
 def _is_fresh(report: _Report, now: int) -> bool:
--- a/tests/components/delivery/world.py
+++ b/tests/components/delivery/world.py
@@ -21,7 +21,7 @@
     version,
 )
 from shallotwharf.components.tables import messages as tables_messages
-from shallotwharf.core import aggregate
+from shallotwharf.core import aggregate, rendezvous
 from tests import fakes
 
 STEP_MS = 50
@@ -164,6 +164,59 @@
         self.cluster.kill(name)
         self.live_since.pop(name, None)
 
+    def restart(self, name):
+        self.kill(name)
+        if name in self.members:
+            self.start_node(name)
+        else:
+            self.start_control(name)
+
+    def restart_dead(self):
+        for name in self.list_all():
+            if name not in self.cluster.processes:
+                self.restart(name)
+
+    def thaw_all(self):
+        for name, process in list(self.cluster.processes.items()):
+            if process.frozen:
+                self.thaw(name)
+
+    def mend(self):
+        self.cluster.heal()
+        self.cluster.loss = 0.0
+        self.cluster.duplicate = 0.0
+        self.cluster.delay_ms = (1, 15)
+        self.thaw_all()
+        self.restart_dead()
+
+    def list_all(self):
+        return [*self.members, *(process.name for process in self.control)]
+
+    def list_nodes(self, datacentre):
+        return [
+            name
+            for name, member in self.members.items()
+            if member.datacentre == datacentre
+        ]
+
+    def list_relays(self, datacentre):
+        return rendezvous.rank_members(datacentre, self.list_nodes(datacentre))[
+            :3
+        ]
+
+    def list_inside(self, datacentre):
+        return [
+            *self.list_nodes(datacentre),
+            *(
+                process.name
+                for process in self.control
+                if process.datacentre == datacentre
+            ),
+        ]
+
+    def list_others(self, names):
+        return [name for name in self.list_all() if name not in names]
+
     def freeze(self, name):
         self.cluster.freeze(name)
         self.live_since[name] = None
@@ -207,6 +260,13 @@
             for name in self.list_live()
         )
 
+    def is_told_everywhere(self):
+        now = self.cluster.clock.read()
+        newest = self.versions[-1].number
+        return all(
+            one.summarize(newest, now).everywhere for one in self.feeds.values()
+        )
+
     def list_live(self):
         return [name for name in self.members if self.is_up(name)]
 
