--- a/shallotwharf/components/move/comparison.py
+++ b/shallotwharf/components/move/comparison.py
@@ -15,8 +15,12 @@
 # version's; with the lowest multiple, a version is surely found from 2.5
 # times on and a good one is not found by its mere number of calls.
 _TOLERANCE: typing.Final = 1.5
-# Factor by which counts of calls fade from slice to slice.
+# Factors by which counts of calls fade from slice to slice, for about 10 s
+# and 2 s. The shorter one follows a change of share while nodes apply it one
+# after the other; it counts from `_SETTLED_CALLS` on, below which it is noise.
 _FADE: typing.Final = 0.95
+_FAST_FADE: typing.Final = 0.75
+_SETTLED_CALLS: typing.Final = 50
 # Evidence of one slice counts at most this part of what is needed, so that
 # one short burst, such as a lost VM or one request that crashes an upstream,
 # does not take a version back.
@@ -49,16 +53,21 @@
 class Exposure:
     """Calls of the two versions in the last few seconds."""
 
-    __slots__ = ('old', 'new')
+    __slots__ = ('_fade', 'old', 'new')
 
-    def __init__(self) -> None:
+    def __init__(self, fade: float) -> None:
+        self._fade = fade
         self.old: float = 0
         self.new: float = 0
 
     def learn(self, row: evidence.Row) -> None:
         """Fade what is known and add the calls of one slice."""
-        self.old = self.old * _FADE + row.old.calls
-        self.new = self.new * _FADE + row.new.calls
+        self.old = self.old * self._fade + row.old.calls
+        self.new = self.new * self._fade + row.new.calls
+
+    def read_odds(self) -> float:
+        """Return the new version's calls for each of the old one's."""
+        return self.new / self.old if self.old else math.inf
 
 
 class Comparison:
@@ -72,6 +81,7 @@
         '_needed',
         '_limit',
         '_exposure',
+        '_fast_exposure',
         '_tests',
     )
 
@@ -83,18 +93,21 @@
         self._needed = math.exp(threshold)
         climb = threshold + math.log(len(_MULTIPLES))
         self._limit = climb / _SLICES_NEEDED
-        self._exposure = Exposure()
+        self._exposure = Exposure(_FADE)
+        self._fast_exposure = Exposure(_FAST_FADE)
         self._tests = tuple(KindTest() for _ in reference.KINDS)
 
     def forget_exposure(self) -> None:
         """Start the ratio of calls anew, since the share changes."""
-        self._exposure = Exposure()
+        self._exposure = Exposure(_FADE)
+        self._fast_exposure = Exposure(_FAST_FADE)
 
     def update(self, row: evidence.Row, warming: bool) -> None:
         """Add one slice; `warming` during the warm-up."""
         self.old = self.old.add(row.old)
         self.new = self.new.add(row.new)
         self._exposure.learn(row)
+        self._fast_exposure.learn(row)
         self.reference.learn(row.old)
         new_failures = row.new.read_failures()
         old_failures = row.old.read_failures()
@@ -123,13 +136,20 @@
         return None
 
     def _compare(self, number: int, hits: int, total: int) -> None:
-        if self._exposure.old:
-            odds = _TOLERANCE * self._exposure.new / self._exposure.old
+        odds = _TOLERANCE * self._read_odds()
+        if odds < math.inf:
             self._tests[number].concurrent.update(
                 _weigh(hits, total, odds),
                 self._limit,
             )
 
+    def _read_odds(self) -> float:
+        fast = self._fast_exposure
+        odds = self._exposure.read_odds()
+        if fast.old + fast.new < _SETTLED_CALLS:
+            return odds
+        return max(odds, fast.read_odds())
+
     def _bound(
         self,
         number: int,
--- a/shallotwharf/components/move/reference.py
+++ b/shallotwharf/components/move/reference.py
@@ -9,9 +9,11 @@
 # The long-run counts are halved above this many calls, so that they follow
 # slow changes of the old version.
 _MAX_CALLS: typing.Final = 4096
-# Factor by which recent counts fade from slice to slice; at two slices a
-# second they cover about 10 s.
-_FADE: typing.Final = 0.95
+# Factors by which recent counts fade from slice to slice. At two slices a
+# second they cover the last slice, about 2 s and about 10 s: the short ones
+# follow a fault that hits both versions at once, the long one tells more
+# where calls are few.
+_FADES: typing.Final = (0, 0.75, 0.95)  # noqa: WPS432
 # The new version may have twice the old one's upper bound.
 _TOLERANCE: typing.Final = 2
 _MAX_RATE: typing.Final = 0.9
@@ -45,17 +47,18 @@
 class Fading:
     """Counts of the old version in the last few seconds."""
 
-    __slots__ = ('calls', 'failures')
+    __slots__ = ('_fade', 'calls', 'failures')
 
-    def __init__(self) -> None:
+    def __init__(self, fade: float) -> None:
+        self._fade = fade
         self.calls: float = 0
         self.failures: list[float] = [0 for _ in KINDS]
 
     def learn(self, counts: evidence.Counts) -> None:
         """Fade what is known and add the counts of one slice."""
-        self.calls = self.calls * _FADE + counts.calls
+        self.calls = self.calls * self._fade + counts.calls
         self.failures = [
-            known * _FADE + failed
+            known * self._fade + failed
             for known, failed in zip(
                 self.failures,
                 counts.read_failures(),
@@ -75,11 +78,12 @@
 
     def __init__(self) -> None:
         self.long_run = evidence.EMPTY_COUNTS
-        self._recent = Fading()
+        self._recent = tuple(Fading(fade) for fade in _FADES)
 
     def learn(self, counts: evidence.Counts) -> None:
         """Add the counts of one slice."""
-        self._recent.learn(counts)
+        for recent in self._recent:
+            recent.learn(counts)
         self.learn_history(counts)
 
     def learn_history(self, counts: evidence.Counts) -> None:
@@ -98,6 +102,9 @@
         upper = (failures + 2 + 2 * math.sqrt(failures + 1)) / (
             self.long_run.calls + 1
         )
-        recent = self._recent.failures[number] / (self._recent.calls + 1)
-        allowed = _TOLERANCE * max(upper, recent)
+        present = max(
+            recent.failures[number] / (recent.calls + 1)
+            for recent in self._recent
+        )
+        allowed = _TOLERANCE * max(upper, present)
         return min(max(allowed, KINDS[number].floor), _MAX_RATE)
--- a/shallotwharf/components/move/schedule.py
+++ b/shallotwharf/components/move/schedule.py
@@ -143,7 +143,7 @@
     wanted = [_find_wanted(position, share) for share in shares[:-1]]
     total = sum(wanted)
     return [
-        min(short + round(spare * want / total), const.MAX_STEP_MS)
+        min(short + spare * want // total, const.MAX_STEP_MS)
         for short, want in zip(shortest, wanted, strict=True)
     ]
 
--- /dev/null
+++ b/tests/components/move/test_machine.py
@@ -0,0 +1,131 @@
+"""Guards against a share that shrinks, or a fenced version that is served.
+
+A state machine restarts, isolates and overtakes watchers and directors in
+any order while a version may turn bad.
+"""
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.tables import version
+from tests.components.move import world as worlds
+
+SIDES = strategies.sampled_from(('east', 'west'))
+NODES = strategies.sampled_from(sorted(worlds.NODES))
+
+
+class MoveMachine(stateful.RuleBasedStateMachine):
+    @stateful.initialize(seed=strategies.integers(0, 99))
+    def begin(self, seed):
+        self.world = worlds.World(seed, due_ms=120_000)
+        self.number = 1
+        self.fenced = set()
+        self.is_bad = False
+
+    @stateful.rule(seconds=strategies.integers(1, 20))
+    def run(self, seconds):
+        for _ in range(seconds):
+            self.world.run(1000)
+            self.note_fences()
+
+    @stateful.rule(side=SIDES)
+    def isolate(self, side):
+        inside = worlds.list_nodes(side)
+        outside = set(worlds.NODES) - set(inside) | set(worlds.CONTROL)
+        self.world.cluster.cut(inside, outside)
+
+    @stateful.rule()
+    def heal(self):
+        self.world.cluster.heal()
+
+    @stateful.rule(loss=strategies.sampled_from((0, 0.2)))
+    def disturb(self, loss):
+        self.world.cluster.loss = loss
+        self.world.cluster.duplicate = loss
+
+    @stateful.rule(name=NODES)
+    def restart_node(self, name):
+        self.world.cluster.kill(name)
+        self.fenced = {pair for pair in self.fenced if pair[0] != name}
+        self.world.start_node(name)
+
+    @stateful.rule(name=strategies.sampled_from(worlds.CONTROL))
+    def restart_control(self, name):
+        self.world.cluster.kill(name)
+        self.world.start_control(name)
+
+    @stateful.rule(leader=strategies.sampled_from((*worlds.CONTROL, '')))
+    def change_leader(self, leader):
+        self.world.ledger.leader = leader
+
+    @stateful.rule(available=strategies.booleans())
+    def toggle_control(self, available):
+        self.world.ledger.available = available
+
+    @stateful.rule()
+    def turn_bad(self):
+        self.is_bad = True
+        self.world.turn_bad()
+
+    @stateful.rule()
+    def race(self):
+        move_id = self.world.move.move_id
+        take_back = ledger_messages.TakeBack(move_id, 'operator', 0)
+        self.world.ledger.propose(self.world.ledger.leader, take_back)
+
+    @stateful.precondition(lambda self: self.world.is_taken_back())
+    @stateful.rule()
+    def declare(self):
+        self.number += 1
+        self.is_bad = False
+        self.world.find_outcome = lambda is_new, name: ('answered', 20)
+        self.world.declare(f'm{self.number}', f'v{self.number}')
+
+    @stateful.invariant()
+    def share_grows_or_is_taken_back(self):
+        for shares in self.world.ledger.shares.values():
+            if 0 in shares[1:]:
+                first = shares.index(0, 1)
+                assert not any(shares[first:])
+                shares = shares[:first]
+            assert shares == sorted(shares)
+
+    @stateful.invariant()
+    def fenced_version_gets_no_share(self):
+        for name, move_id in self.fenced:
+            moves = self.world.nodes[name].applied.moves
+            if moves and moves[0].move_id == move_id:
+                assert self.world.find_share(name) == 0
+
+    def teardown(self):
+        if not hasattr(self, 'world'):
+            return
+        world = self.world
+        world.cluster.heal()
+        world.cluster.loss = 0
+        world.ledger.available = True
+        world.ledger.leader = worlds.CONTROL[0]
+        ended = {version.STATE_TAKEN_BACK, version.STATE_DONE}
+        if world.move.state not in ended:
+            world.run_until(self.has_settled, 240_000)
+        self.share_grows_or_is_taken_back()
+
+    def has_settled(self):
+        if self.is_bad:
+            return self.world.is_taken_back()
+        taken_back = self.world.is_taken_back()
+        return taken_back or self.world.move.share == 10_000
+
+    def note_fences(self):
+        for name, known in self.world.watchers.items():
+            if known.is_fenced(self.world.move.move_id):
+                self.fenced.add((name, self.world.move.move_id))
+
+
+TestMoves = MoveMachine.TestCase
+TestMoves.settings = hypothesis.settings(
+    max_examples=25,
+    stateful_step_count=25,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
