Judge versions after a restart and late fences of finished moves

Cause: a process that started after the share was full knew no old version and judged nothing; a fence from a data centre that was isolated found its move done and was dropped; outcomes and relays had names of their own.

Change: default rates hold while the old version is unknown; a done move with a fence is taken back; outcomes are those of the call path and relays are ranked as in delivery. The warm-up ends with the small shares.

--- a/shallotwharf/components/move/const.py
+++ b/shallotwharf/components/move/const.py
@@ -25,8 +25,10 @@
 MIN_SLACK_MS: typing.Final = clock.MINUTE_MS // 4
 MAX_SLACK_MS: typing.Final = 5 * clock.MINUTE_MS
 
-# Time from the first call of a new version in which its errors and slow
-# answers are judged by `WARM_UP_RATES` only; crashes are never allowed.
+# Time from the first call of a new version, while its share is small, in
+# which its errors and slow answers are judged by the warm-up rates of
+# `reference.KINDS` only; crashes are never allowed.
+WARM_UP_SHARE: typing.Final = FIRST_SHARE
 WARM_UP_MS: typing.Final = clock.MINUTE_MS // 2
 # How long a full share is watched before the move is done.
 WATCH_MS: typing.Final = 10 * clock.MINUTE_MS
@@ -67,4 +69,3 @@
 MAX_NODES: typing.Final = 1024
 
 RELAYS_PER_DATACENTRE: typing.Final = 3
-RELAY_KEY: typing.Final = 'relays'
--- a/shallotwharf/components/move/director.py
+++ b/shallotwharf/components/move/director.py
@@ -165,7 +165,7 @@
         known: progress.Progress,
         now: int,
     ) -> list[effects.Effect]:
-        if self._leading_since is None or not known.is_active:
+        if self._leading_since is None or not known.is_open:
             return []
         # A take-back does not wait for the outcome of a step.
         key = (known.move.move_id, bool(known.fault))
--- a/shallotwharf/components/move/evidence.py
+++ b/shallotwharf/components/move/evidence.py
@@ -6,7 +6,10 @@
 from shallotwharf.components.move import const
 from shallotwharf.core import records
 
-OUTCOME_ANSWERED: typing.Final = 'answered'
+# How an attempt ended: with a whole answer, late or not at all in time, with
+# an error, or with a connection lost before the end of the answer.
+OUTCOME_OK: typing.Final = 'ok'
+OUTCOME_SLOW: typing.Final = 'slow'
 OUTCOME_ERROR: typing.Final = 'error'
 OUTCOME_CRASH: typing.Final = 'crash'
 
--- a/shallotwharf/components/move/progress.py
+++ b/shallotwharf/components/move/progress.py
@@ -57,11 +57,23 @@
         """Tell whether control still steps or judges the move."""
         return self.move.state in watch.ACTIVE_STATES
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether there may be something to propose.
+
+        A fence from a data centre that was isolated may come after the move
+        is done.
+        """
+        late = self.fault and self.move.state == version.STATE_DONE
+        return self.is_active or bool(late)
+
     def apply(self, move: version.Move, wall: int) -> None:
         """Follow the move in a new version."""
         known = self.move
         self.move = move
         changed = move.state != known.state
+        if move.due_at != known.due_at:
+            self._slack_ms = schedule.compute_slack(move.due_at - wall)
         if move.share != known.share:
             self.trial.forget_exposure()
             self.traffic.restart()
@@ -91,7 +103,7 @@
         rows = self._incoming.take()
         self.traffic.measure(evidence.find_overall(rows), now)
         if rows:
-            self.trial.update(rows, now)
+            self.trial.update(rows, self.move.share, now)
             self.fault = self.fault or self.trial.fault
 
     def plan(self) -> tuple[schedule.Step, ...]:
--- a/shallotwharf/components/move/reference.py
+++ b/shallotwharf/components/move/reference.py
@@ -17,6 +17,8 @@
 # The new version may have twice the old one's upper bound.
 _TOLERANCE: typing.Final = 2
 _MAX_RATE: typing.Final = 0.9
+# Calls of the old version from which its rates are known.
+_KNOWN_CALLS: typing.Final = 20
 
 
 class Kind(records.Record):
@@ -27,20 +29,29 @@
             `Counts.read_failures`.
         floor: rate that is harmless whatever the old version does.
         warm_up_rate: rate that is allowed during the warm-up; 0 for none.
+        unknown_rate: rate that is allowed while the old version is hardly
+            known, as in a process that started after the share was full.
     """
 
-    __slots__ = ('name', 'floor', 'warm_up_rate')
+    __slots__ = ('name', 'floor', 'warm_up_rate', 'unknown_rate')
 
-    def __init__(self, name: str, floor: float, warm_up_rate: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        floor: float,
+        warm_up_rate: float,
+        unknown_rate: float,
+    ) -> None:
         self.name = name
         self.floor = floor
         self.warm_up_rate = warm_up_rate
+        self.unknown_rate = unknown_rate
 
 
 KINDS: typing.Final = (
-    Kind('errors', 0.005, 0.2),  # noqa: WPS432
-    Kind('slow', 0.03, 0.8),  # noqa: WPS432
-    Kind('crashes', 0.001, 0),  # noqa: WPS432
+    Kind('errors', 0.005, 0.2, 0.2),  # noqa: WPS432
+    Kind('slow', 0.03, 0.8, 0.5),  # noqa: WPS432
+    Kind('crashes', 0.001, 0, 0.02),  # noqa: WPS432
 )
 
 
@@ -106,5 +117,7 @@
             recent.failures[number] / (recent.calls + 1)
             for recent in self._recent
         )
+        if self.long_run.calls < _KNOWN_CALLS:
+            upper = min(upper, KINDS[number].unknown_rate / _TOLERANCE)
         allowed = _TOLERANCE * max(upper, present)
         return min(max(allowed, KINDS[number].floor), _MAX_RATE)
--- a/shallotwharf/components/move/tally.py
+++ b/shallotwharf/components/move/tally.py
@@ -14,6 +14,10 @@
 _STEP_UP: typing.Final = 1.19
 _STEP_DOWN: typing.Final = 0.990888
 _MIN_ESTIMATE_MS: typing.Final = 1.0
+# Their durations tell nothing of slowness.
+_FAILURES: typing.Final = frozenset(
+    (evidence.OUTCOME_ERROR, evidence.OUTCOME_CRASH),
+)
 
 
 class Side:
@@ -30,12 +34,12 @@
     def count(self, outcome: str, slow: bool) -> None:
         """Count one call."""
         self.calls += 1
-        if outcome == evidence.OUTCOME_ANSWERED:
-            self.slow += slow
-        elif outcome == evidence.OUTCOME_CRASH:
+        if outcome == evidence.OUTCOME_CRASH:
             self.crashes += 1
-        else:
+        elif outcome == evidence.OUTCOME_ERROR:
             self.errors += 1
+        else:
+            self.slow += slow
 
     def read(self) -> evidence.Counts:
         """Return the counts so far."""
@@ -143,11 +147,10 @@
         slow = duration_ms > tally.limit.read()
         if version == self._to_version:
             tally.new.count(outcome, slow)
-            if slow or outcome != evidence.OUTCOME_ANSWERED:
-                self.urgent = True
+            self.urgent = self.urgent or slow or outcome in _FAILURES
         elif version == self._from_version:
             tally.old.count(outcome, slow)
-            if outcome == evidence.OUTCOME_ANSWERED:
+            if outcome not in _FAILURES:
                 tally.limit.learn(duration_ms)
 
     def take(self) -> tuple[evidence.Row, ...]:
--- a/shallotwharf/components/move/verdict.py
+++ b/shallotwharf/components/move/verdict.py
@@ -46,12 +46,22 @@
         for compared in self._comparisons.values():
             compared.forget_exposure()
 
-    def update(self, rows: abc.Iterable[evidence.Row], now: int) -> None:
-        """Add the rows of one slice, the overall row included."""
+    def update(
+        self,
+        rows: abc.Iterable[evidence.Row],
+        share: int,
+        now: int,
+    ) -> None:
+        """Add the rows of one slice, the overall row included.
+
+        `share` is the new version's, in hundredths of a percent.
+        """
         for row in rows:
             if self._warm_until is None and row.new.calls:
                 self._warm_until = now + const.WARM_UP_MS
-            warming = self._warm_until is None or now < self._warm_until
+            warming = share <= const.WARM_UP_SHARE and (
+                self._warm_until is None or now < self._warm_until
+            )
             compared = self._open(row.route)
             compared.update(row, warming)
             kind = compared.find_kind()
--- a/shallotwharf/components/move/watch.py
+++ b/shallotwharf/components/move/watch.py
@@ -60,14 +60,14 @@
         self._slices = 0
         self._reported_to = ''
 
-    def close_slice(self, now: int) -> tuple[evidence.Row, ...]:
+    def close_slice(self, share: int, now: int) -> tuple[evidence.Row, ...]:
         """Judge and return the calls since the last report, if one is due."""
         self._slices += 1
         if self._slices % const.SLICES_PER_REPORT and not self.calls.urgent:
             return ()
         rows = self.calls.take()
         if rows:
-            self.trial.update(rows, now)
+            self.trial.update(rows, share, now)
         return rows
 
     def take_history(self, collector: str) -> tuple[evidence.Row, ...]:
@@ -99,11 +99,11 @@
             if not known:
                 self.trial.learn_history(report.history)
 
-    def close_slice(self, now: int) -> bool:
+    def close_slice(self, share: int, now: int) -> bool:
         """Judge the last slice; return whether a summary is due."""
         rows = self._incoming.take()
         if rows:
-            self.trial.update(rows, now)
+            self.trial.update(rows, share, now)
             self._unsent.merge(rows)
         self._slices += 1
         return self._slices % const.SLICES_PER_SUMMARY == 0
--- a/shallotwharf/components/move/watcher.py
+++ b/shallotwharf/components/move/watcher.py
@@ -135,7 +135,7 @@
         """Choose the relays anew."""
         names = {member.name for member in message.members}
         names.add(self._name)
-        ranked = rendezvous.rank_members(const.RELAY_KEY, names)
+        ranked = rendezvous.rank_members(self._datacentre, names)
         self._relays = ranked[: const.RELAYS_PER_DATACENTRE]
         return []
 
@@ -189,7 +189,7 @@
         watched: watch.Watch,
         now: int,
     ) -> list[effects.Effect]:
-        rows = watched.local.close_slice(now)
+        rows = watched.local.close_slice(watched.move.share, now)
         if not rows:
             return []
         collector = self._find_collector(watched.move.pool)
@@ -211,7 +211,7 @@
         watched: watch.Watch,
         now: int,
     ) -> list[effects.Effect]:
-        if not watched.collection.close_slice(now):
+        if not watched.collection.close_slice(watched.move.share, now):
             return []
         rows = watched.collection.take_summary()
         # A summary without calls tells that the data centre is reachable.
--- a/shallotwharf/measure/move_cases.py
+++ b/shallotwharf/measure/move_cases.py
@@ -29,8 +29,12 @@
 _COLD: typing.Final = move_kinds.Effects(errors=0.1, slowdown=4)
 _FEW_CALLS: typing.Final = 0.01
 _SLIGHT_SLOWDOWN: typing.Final = 1.15
-# Loss of one of six targets.
-_VM_PART: typing.Final = 1 / 6
+_CRASHING_ALWAYS: typing.Final = move_kinds.Effects(crashes=1)
+# Members notice a lost node within about 1 s; a crashed upstream is taken
+# out at once, and the caller's second attempt comes 2 s later.
+_LOST_MS: typing.Final = clock.SECOND_MS
+_CRASH_MS: typing.Final = clock.SECOND_MS // 4
+_RESEND_MS: typing.Final = 2 * clock.SECOND_MS
 _COLD_MS: typing.Final = clock.MINUTE_MS // 3
 
 
@@ -72,7 +76,7 @@
     def place_nodes(self) -> dict[str, str]:
         """Return the data centre of each node."""
         return {
-            f'node-{number}': f'datacentre-{number % _DATACENTRES}'
+            f'node-{number}': _name_datacentre(number % _DATACENTRES)
             for number in range(self.nodes)
         }
 
@@ -119,6 +123,20 @@
     return source.randint(low * clock.MINUTE_MS, high * clock.MINUTE_MS)
 
 
+def _name_datacentre(number: int) -> str:
+    return f'datacentre-{number}'
+
+
+def _build_poison(source: random.Random) -> move_kinds.Behaviour:
+    begin_ms = _draw(source, 1, 15)  # noqa: WPS432 (minutes)
+    return move_kinds.GoodBursts(
+        _CRASHING_ALWAYS,
+        _name_datacentre(0),
+        (begin_ms, begin_ms + _RESEND_MS),
+        _CRASH_MS,
+    )
+
+
 def _build_episode(
     source: random.Random,
     effects: move_kinds.Effects,
@@ -149,10 +167,13 @@
             _COLD,
             _COLD_MS,
         ),
-        'good, VM lost': lambda source: move_kinds.GoodLostVm(
-            _draw(source, 1, 15),  # noqa: WPS432 (minutes)
-            _VM_PART,
+        'good, VM lost': lambda source: move_kinds.GoodBursts(
+            _FAILING_ALWAYS,
+            _name_datacentre(0),
+            (_draw(source, 1, 15),),  # noqa: WPS432 (minutes)
+            _LOST_MS,
         ),
+        'good, poison request': _build_poison,
     },
 )
 _BAD: typing.Final[abc.Mapping[str, Factory]] = types.MappingProxyType(
--- a/shallotwharf/measure/move_kinds.py
+++ b/shallotwharf/measure/move_kinds.py
@@ -5,7 +5,7 @@
 import typing
 
 from shallotwharf.components.move import evidence
-from shallotwharf.core import clock, records
+from shallotwharf.core import records
 
 _MEDIAN_MS: typing.Final = 20.0
 _SPREAD: typing.Final = 0.5
@@ -20,11 +20,20 @@
         route: name of the route.
         is_new: whether the new version runs it.
         age_ms: time since the new version's first call.
+        datacentre: name of the data centre it runs in.
         share: share of the new version, from 0 to 1.
         full_for_ms: time since the share became full; negative before.
     """
 
-    __slots__ = ('at', 'route', 'is_new', 'age_ms', 'share', 'full_for_ms')
+    __slots__ = (
+        'at',
+        'route',
+        'is_new',
+        'age_ms',
+        'datacentre',
+        'share',
+        'full_for_ms',
+    )
 
     def __init__(
         self,
@@ -32,6 +41,7 @@
         route: str,
         is_new: bool,
         age_ms: int,
+        datacentre: str,
         share: float,
         full_for_ms: int,
     ) -> None:
@@ -39,6 +49,7 @@
         self.route = route
         self.is_new = is_new
         self.age_ms = age_ms
+        self.datacentre = datacentre
         self.share = share
         self.full_for_ms = full_for_ms
 
@@ -107,7 +118,7 @@
         if drawn > 1 - _BASE_ERRORS:
             return Outcome(evidence.OUTCOME_ERROR, duration_ms, False)
         caused = caused and changed.slowdown > 1
-        return Outcome(evidence.OUTCOME_ANSWERED, duration_ms, caused)
+        return Outcome(evidence.OUTCOME_OK, duration_ms, caused)
 
 
 class Bad(Behaviour):
@@ -231,17 +242,36 @@
         return ORDINARY
 
 
-class GoodLostVm(Good):
-    """One VM of the new version is lost; its calls fail for a second."""
+class GoodBursts(Good):
+    """All calls of the new version in one data centre fail at times.
 
-    __slots__ = ('at_ms', 'part')
+    Today a data centre has about one target of a service, so that these are
+    the calls of one VM: it is lost, or a request crashes its upstream and is
+    resent.
+    """
+
+    __slots__ = ('effects', 'datacentre', 'begins_ms', 'duration_ms')
 
-    def __init__(self, at_ms: int, part: float) -> None:
+    def __init__(
+        self,
+        effects: Effects,
+        datacentre: str,
+        begins_ms: tuple[int, ...],
+        duration_ms: int,
+    ) -> None:
         super().__init__()
-        self.at_ms = at_ms
-        self.part = part
+        self.effects = effects
+        self.datacentre = datacentre
+        self.begins_ms = begins_ms
+        self.duration_ms = duration_ms
 
     def find_effects(self, call: Call) -> Effects:
-        """Return failures for the second until the members notice."""
-        lasts = self.at_ms <= call.at < self.at_ms + clock.SECOND_MS
-        return Effects(errors=self.part) if call.is_new and lasts else ORDINARY
+        """Return failures during the bursts."""
+        if not call.is_new or call.datacentre != self.datacentre:
+            return ORDINARY
+        if any(
+            begin_ms <= call.at < begin_ms + self.duration_ms
+            for begin_ms in self.begins_ms
+        ):
+            return self.effects
+        return ORDINARY
--- a/shallotwharf/measure/move_policies.py
+++ b/shallotwharf/measure/move_policies.py
@@ -120,7 +120,7 @@
     ) -> None:
         """Keep the result of a call of the new version."""
         if call.is_new:
-            failed = outcome.name != evidence.OUTCOME_ANSWERED
+            failed = outcome.name != evidence.OUTCOME_OK
             self._recent.append((call.at, failed))
 
     def advance(self, until: int) -> None:
--- a/shallotwharf/measure/moves.py
+++ b/shallotwharf/measure/moves.py
@@ -43,6 +43,7 @@
         '_policy',
         '_source',
         '_nodes',
+        '_places',
     )
 
     def __init__(
@@ -62,6 +63,7 @@
         self._policy = policy
         self._source = source
         self._nodes = list(deployment.place_nodes())
+        self._places = list(deployment.place_nodes().values())
 
     def run(self) -> None:
         """Run calls until the move has ended or the limit has passed."""
@@ -104,6 +106,7 @@
             route,
             is_new,
             _measure_since(self.first_call_at, at),
+            self._places[number],
             share / _FULL,
             _measure_since(self.full_at, at),
         )
--- a/tests/components/move/test_cluster.py
+++ b/tests/components/move/test_cluster.py
@@ -153,7 +153,7 @@
     world = start_at(1000)
     world.turn_bad()
     world.run_until(world.is_taken_back, 20_000)
-    world.find_outcome = lambda is_new, name: ('answered', 20)
+    world.find_outcome = lambda is_new, name: ('ok', 20)
     world.due_at = world.cluster.clock.read_wall() + 180_000
     world.declare('m2', 'newer')
     world.run_until(lambda: world.move.share == FULL, 180_000)
--- a/tests/components/move/test_evidence.py
+++ b/tests/components/move/test_evidence.py
@@ -50,7 +50,7 @@
 def test_routes_are_bounded_and_no_call_is_lost():
     calls = tally.PoolTally('old', 'new', 1000)
     for number in range(100):
-        calls.count(f'route-{number}', 'old', 'answered', 5)
+        calls.count(f'route-{number}', 'old', 'ok', 5)
     taken = calls.take()
     assert len(taken) <= const.MAX_ROUTES + 1
     assert taken[0].old.calls == 100
--- a/tests/components/move/test_machine.py
+++ b/tests/components/move/test_machine.py
@@ -79,7 +79,7 @@
     def declare(self):
         self.number += 1
         self.is_bad = False
-        self.world.find_outcome = lambda is_new, name: ('answered', 20)
+        self.world.find_outcome = lambda is_new, name: ('ok', 20)
         self.world.declare(f'm{self.number}', f'v{self.number}')
 
     @stateful.invariant()
--- a/tests/components/move/test_verdict.py
+++ b/tests/components/move/test_verdict.py
@@ -42,13 +42,13 @@
     )
 
 
-def run(slices, seed=1, parts=1, first=0):
+def run(slices, seed=1, parts=1, share=500):
     """Feed a trial; return the number of the slice that finds a fault."""
     trial = verdict.Trial(parts)
     source = random.Random(seed)
     for number in range(slices[0]):
         for row in slices[1](source, number):
-            trial.update((row,), (first + number) * SLICE_MS)
+            trial.update((row,), share, number * SLICE_MS)
         if trial.fault:
             return number
     return None
@@ -213,5 +213,5 @@
             evidence.Counts(old, min(bad, old)),
             evidence.Counts(new, min(worse, new)),
         )
-        trial.update((row,), number * SLICE_MS)
+        trial.update((row,), 0, number * SLICE_MS)
         assert math.isfinite(trial.read_level())
--- a/tests/components/move/world.py
+++ b/tests/components/move/world.py
@@ -163,7 +163,7 @@
         first = version.Version(1, tables, (self.build_move('m1', 'new'),))
         self.ledger = Ledger(first)
         self.watchers, self.directors, self.nodes = {}, {}, {}
-        self.find_outcome = lambda is_new, name: ('answered', 20)
+        self.find_outcome = lambda is_new, name: ('ok', 20)
         self.generation = 0
         self.has_upstreams = True
         for name in CONTROL:
@@ -234,7 +234,7 @@
         self.find_outcome = lambda is_new, name: (
             evidence.OUTCOME_ERROR
             if is_new and name in nodes
-            else evidence.OUTCOME_ANSWERED,
+            else evidence.OUTCOME_OK,
             20,
         )
 
