--- a/shallotwharf/components/move/reference.py
+++ b/shallotwharf/components/move/reference.py
@@ -9,12 +9,16 @@
 # The long-run counts are halved above this many calls, so that they follow
 # slow changes of the old version.
 _MAX_CALLS: typing.Final = 4096
-# Factor by which recent counts fade from slice to slice; at two slices a
-# second they cover about 10 s.
-_FADE: typing.Final = 0.95
+# Factors by which recent counts fade from slice to slice. At two slices a
+# second they cover the last slice, about 2 s and about 10 s: the short ones
+# follow a fault that hits both versions at once, the long one tells more
+# where calls are few.
+_FADES: typing.Final = (0, 0.75, 0.95)  # noqa: WPS432
 # The new version may have twice the old one's upper bound.
 _TOLERANCE: typing.Final = 2
 _MAX_RATE: typing.Final = 0.9
+# Calls of the old version from which its rates are known.
+_KNOWN_CALLS: typing.Final = 20
 
 
 class Kind(records.Record):
@@ -25,37 +29,47 @@
             `Counts.read_failures`.
         floor: rate that is harmless whatever the old version does.
         warm_up_rate: rate that is allowed during the warm-up; 0 for none.
+        unknown_rate: rate that is allowed while the old version is hardly
+            known, as in a process that started after the share was full.
     """
 
-    __slots__ = ('name', 'floor', 'warm_up_rate')
+    __slots__ = ('name', 'floor', 'warm_up_rate', 'unknown_rate')
 
-    def __init__(self, name: str, floor: float, warm_up_rate: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        floor: float,
+        warm_up_rate: float,
+        unknown_rate: float,
+    ) -> None:
         self.name = name
         self.floor = floor
         self.warm_up_rate = warm_up_rate
+        self.unknown_rate = unknown_rate
 
 
 KINDS: typing.Final = (
-    Kind('errors', 0.005, 0.2),  # noqa: WPS432
-    Kind('slow', 0.03, 0.8),  # noqa: WPS432
-    Kind('crashes', 0.001, 0),  # noqa: WPS432
+    Kind('errors', 0.005, 0.2, 0.2),  # noqa: WPS432
+    Kind('slow', 0.03, 0.8, 0.5),  # noqa: WPS432
+    Kind('crashes', 0.001, 0, 0.02),  # noqa: WPS432
 )
 
 
 class Fading:
     """Counts of the old version in the last few seconds."""
 
-    __slots__ = ('calls', 'failures')
+    __slots__ = ('_fade', 'calls', 'failures')
 
-    def __init__(self) -> None:
+    def __init__(self, fade: float) -> None:
+        self._fade = fade
         self.calls: float = 0
         self.failures: list[float] = [0 for _ in KINDS]
 
     def learn(self, counts: evidence.Counts) -> None:
         """Fade what is known and add the counts of one slice."""
-        self.calls = self.calls * _FADE + counts.calls
+        self.calls = self.calls * self._fade + counts.calls
         self.failures = [
-            known * _FADE + failed
+            known * self._fade + failed
             for known, failed in zip(
                 self.failures,
                 counts.read_failures(),
@@ -75,11 +89,12 @@
 
     def __init__(self) -> None:
         self.long_run = evidence.EMPTY_COUNTS
-        self._recent = Fading()
+        self._recent = tuple(Fading(fade) for fade in _FADES)
 
     def learn(self, counts: evidence.Counts) -> None:
         """Add the counts of one slice."""
-        self._recent.learn(counts)
+        for recent in self._recent:
+            recent.learn(counts)
         self.learn_history(counts)
 
     def learn_history(self, counts: evidence.Counts) -> None:
@@ -98,6 +113,11 @@
         upper = (failures + 2 + 2 * math.sqrt(failures + 1)) / (
             self.long_run.calls + 1
         )
-        recent = self._recent.failures[number] / (self._recent.calls + 1)
-        allowed = _TOLERANCE * max(upper, recent)
+        present = max(
+            recent.failures[number] / (recent.calls + 1)
+            for recent in self._recent
+        )
+        if self.long_run.calls < _KNOWN_CALLS:
+            upper = min(upper, KINDS[number].unknown_rate / _TOLERANCE)
+        allowed = _TOLERANCE * max(upper, present)
         return min(max(allowed, KINDS[number].floor), _MAX_RATE)
