Split the commands by what they do and add members

Change: modules for processes, queries and changes; the command members lists, adds and removes control processes.

Measured: not measured.

--- a/shallotwharf/__main__.py
+++ b/shallotwharf/__main__.py
@@ -16,7 +16,7 @@
 def main() -> None:
     """Run a command and leave with its exit status."""
     try:
-        app.app()
+        app.build_app()()
     except (errors.ShallotwharfError, ExceptionGroup) as error:
         output.print_error(error)
         sys.exit(_find_exit(error))
--- a/shallotwharf/cli/client.py
+++ b/shallotwharf/cli/client.py
@@ -8,6 +8,7 @@
 
 from tornado import curl_httpclient, httpclient, ioloop
 
+from shallotwharf.cli import output
 from shallotwharf.core import errors, records
 
 _CONNECT_SECONDS: typing.Final = 2
@@ -80,6 +81,17 @@
         return last
 
 
+def read_answer(
+    addresses: list[str],
+    path: str,
+    query: abc.Mapping[str, object] | None = None,
+) -> dict[str, typing.Any]:
+    """Return the JSON answer; leave with an exit status if it fails."""
+    reply = Client(addresses).read(path, query)
+    output.check_reply(reply.status, reply.body)
+    return reply.body
+
+
 def _run(method: str, url: str, body: str | None) -> Reply:
     reply: Reply = ioloop.IOLoop().run_sync(
         functools.partial(_async_fetch, method, url, body),
--- a/shallotwharf/roles/control/api.py
+++ b/shallotwharf/roles/control/api.py
@@ -59,6 +59,7 @@
             ledger_messages.EditAccepted: views.reply_accepted,
             ledger_messages.EditConflict: views.reply_conflict,
             ledger_messages.EditRefused: views.reply_refused,
+            replica_messages.ChangeAccepted: views.reply_change,
             replica_messages.NotLeader: self._reply_not_leader,
             replica_messages.OutcomeUnknown: views.reply_unknown,
             replica_messages.ProposalRefused: views.reply_not_proposed,
@@ -72,6 +73,7 @@
             ('GET', '/v1/history'): self.async_read_history,
             ('POST', '/v1/edits'): self.async_edit,
             ('POST', '/v1/reverts'): self.async_revert,
+            ('POST', '/v1/members'): self.async_change_members,
         }
 
     async def async_read_health(
@@ -174,11 +176,25 @@
             edits.read_revert(request.document, self._frame.clock.read_wall()),
         )
 
+    async def async_change_members(
+        self,
+        request: admin.AdminRequest,
+    ) -> admin.AdminReply:
+        """Add or remove a control process."""
+        change, name = edits.read_member_change(request.document)
+        return self._reply(
+            await proposals.async_change_members(self._frame, change, name),
+        )
+
     async def _async_propose(
         self,
         command: messages.Message,
     ) -> admin.AdminReply:
-        outcome = await proposals.async_propose(self._frame, command)
+        return self._reply(
+            await proposals.async_propose(self._frame, command),
+        )
+
+    def _reply(self, outcome: messages.Message) -> admin.AdminReply:
         reply: admin.AdminReply = self._replies[type(outcome)](outcome)
         return reply
 
--- a/shallotwharf/roles/control/edits.py
+++ b/shallotwharf/roles/control/edits.py
@@ -1,12 +1,16 @@
 """Edits as operators send them, checked."""
 
+import types
 import typing
+from collections import abc
 
 import voluptuous
 
 from shallotwharf.components.ledger import messages
+from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.tables import document
 from shallotwharf.core import errors, schema
+from shallotwharf.roles.control import proposals
 
 _STEP: typing.Final = 'edit.read'
 
@@ -29,6 +33,20 @@
 _REVERT: typing.Final = _AUTHOR.extend(
     {voluptuous.Required('number'): voluptuous.All(int, voluptuous.Range(0))},
 )
+_CHANGES: typing.Final[abc.Mapping[str, proposals.MemberChange]] = (
+    types.MappingProxyType(
+        {
+            'add': replica_messages.AddMember,
+            'remove': replica_messages.RemoveMember,
+        },
+    )
+)
+_MEMBER: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Required('change'): voluptuous.In(list(_CHANGES)),
+        voluptuous.Required('name'): str,
+    },
+)
 
 
 def read_edit(sent: typing.Any, wall_now: int) -> messages.ApplyEdit:
@@ -57,3 +75,15 @@
         checked['number'],
         wall_now,
     )
+
+
+def read_member_change(
+    sent: typing.Any,
+) -> tuple[proposals.MemberChange, str]:
+    """Return the class of the command and the name of the process.
+
+    Raises:
+        ExceptionGroup: one error for each fault.
+    """
+    checked = schema.check_document(_MEMBER, sent, errors.ProtocolError, _STEP)
+    return _CHANGES[checked['change']], checked['name']
--- a/shallotwharf/roles/control/proposals.py
+++ b/shallotwharf/roles/control/proposals.py
@@ -1,6 +1,7 @@
 """Commands that this process hands to the replicated log."""
 
 import typing
+from collections import abc
 
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.core import clock, errors, messages
@@ -9,6 +10,10 @@
 # An edit across regions takes some 50 ms; an election takes up to 2 s.
 _TIMEOUT_MS: typing.Final = 5 * clock.SECOND_MS
 
+MemberChange: typing.TypeAlias = (
+    type[replica_messages.AddMember] | type[replica_messages.RemoveMember]
+)
+
 
 async def async_propose(
     frame: process.Frame,
@@ -19,14 +24,33 @@
     The outcome is that of the ledger, or `NotLeader`, `ProposalRefused` or
     `OutcomeUnknown`, the last also if there was no answer in time.
     """
+    return await _async_ask(
+        frame,
+        lambda request: replica_messages.Propose(request, command),
+    )
+
+
+async def async_change_members(
+    frame: process.Frame,
+    change: MemberChange,
+    name: str,
+) -> messages.Message:
+    """Add or remove a control process and return the outcome.
+
+    The outcome is `ChangeAccepted`, `NotLeader`, `ProposalRefused` or
+    `OutcomeUnknown`.
+    """
+    return await _async_ask(frame, lambda request: change(request, name))
+
 
-    def propose(request: str) -> None:  # noqa: WPS430
-        frame.dispatcher.deliver(
-            replica_messages.Propose(request, command),
-            frame.name,
-        )
+async def _async_ask(
+    frame: process.Frame,
+    build: abc.Callable[[str], messages.Message],
+) -> messages.Message:
+    def deliver(request: str) -> None:  # noqa: WPS430
+        frame.dispatcher.deliver(build(request), frame.name)
 
     try:
-        return await frame.requests.async_ask(propose, _TIMEOUT_MS)
+        return await frame.requests.async_ask(deliver, _TIMEOUT_MS)
     except errors.RefusedError:
         return replica_messages.OutcomeUnknown()
--- a/shallotwharf/roles/control/views.py
+++ b/shallotwharf/roles/control/views.py
@@ -78,6 +78,13 @@
     )
 
 
+def reply_change(
+    _outcome: replica_messages.ChangeAccepted,
+) -> admin.AdminReply:
+    """Return the answer to an accepted change of the control processes."""
+    return admin.AdminReply(HTTP_OK, {'result': 'accepted'})
+
+
 def reply_conflict(
     outcome: ledger_messages.EditConflict,
 ) -> admin.AdminReply:
--- a/shallotwharf/roles/node/observer.py
+++ b/shallotwharf/roles/node/observer.py
@@ -6,12 +6,11 @@
 from shallotwharf.components.move import evidence, watcher
 from shallotwharf.core import callports, calls
 
-# A slow answer is judged by its duration, against that of the old version.
 _OUTCOMES: typing.Final = types.MappingProxyType(
     {
-        calls.OBSERVED_OK: evidence.OUTCOME_ANSWERED,
+        calls.OBSERVED_OK: evidence.OUTCOME_OK,
         calls.OBSERVED_ERROR: evidence.OUTCOME_ERROR,
-        calls.OBSERVED_SLOW: evidence.OUTCOME_ANSWERED,
+        calls.OBSERVED_SLOW: evidence.OUTCOME_SLOW,
         calls.OBSERVED_CRASH: evidence.OUTCOME_CRASH,
     },
 )
