--- a/tests/components/replica/groups.py
+++ b/tests/components/replica/groups.py
@@ -262,7 +262,8 @@
         disks = {member.identity for member in status.members.voters}
         current = {f'{name}{self.disks[name]}' for name in self.names}
         applied = {found.applied for found in self.ledgers.values()}
-        return disks == current and len(applied) == 1
+        committed = status.commit == status.last_index
+        return disks == current and committed and len(applied) == 1
 
     def _check_answers(self, found):
         rows = {row.request_id: row for row in found.list_history()}
--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -50,6 +50,8 @@
     request = group.edit(leader)
     group.run(10 * SECOND_MS)
     group.commit_edit()
+    # As if it were asked before it handles anything that waits.
+    assert not group.replicas[leader].is_leading(group.now)
     group.cluster.thaw(leader)
     group.check()
     assert request not in group.replies
@@ -237,3 +239,56 @@
     assert group.wait_for_leader() != leader
     group.commit_edit()
     assert len(read_voters(group)) == 2
+
+
+def test_follower_that_hears_the_leader_does_not_help_to_replace_it():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.cluster.cut([leader], list_others(group, leader)[:1])
+    for _ in range(200):
+        group.run(50)
+        assert group.find_leader() == leader
+
+
+def test_restarted_follower_keeps_its_promise_to_the_leader():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    apart, voter = list_others(group, leader)
+    group.cluster.cut([leader], [apart])
+    for _ in range(200):
+        group.kill(voter)
+        group.start(voter)
+        group.run(100)
+        assert group.find_leader() == leader
+
+
+def test_learner_without_the_log_does_not_become_voter():
+    group = groups.Group('abc', snapshot_entries=4)
+    leader = group.wait_for_leader()
+    for _ in range(12):
+        group.commit_edit(size=20)
+    lost = list_others(group, leader)[0]
+    group.wipe(lost)
+    replica = group.replicas[leader]
+    group.run_until(lambda: replica.read_status().members.learners)
+    assert group.ledgers[lost].applied == 0
+    group.cluster.cut([lost], list_others(group, lost))
+    group.run(10 * SECOND_MS)
+    assert f'{lost}2' not in read_voters(group)
+    group.recover()
+    assert f'{lost}2' in read_voters(group)
+
+
+def test_second_change_of_voters_waits_for_the_first():
+    group = groups.Group('abcde')
+    leader = group.wait_for_leader()
+    others = list_others(group, leader)
+    group.cluster.cut([leader], others)
+    process = group.cluster.processes[leader]
+    for request, name in enumerate(others[:2]):
+        change = messages.RemoveMember(f'r{request}', name)
+        process.dispatcher.deliver(change, '')
+    assert process.requests.answers == {
+        'r0': messages.ChangeAccepted(),
+        'r1': messages.ProposalRefused('change_in_progress'),
+    }
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -73,6 +73,23 @@
     assert ('a', 0) not in echoes['b'].seen
 
 
+class Queueing(Echo):
+    def receive(self, message, sender, now):
+        self.seen.append(message.number)
+        if message.number:
+            return []
+        return [effects.Publish(Ping(1)), effects.Store(Operation())]
+
+
+def test_failed_store_is_handled_before_messages_that_wait():
+    cluster = fakes.Cluster(1)
+    echo = Queueing()
+    process = cluster.start('a', echo)
+    process.storage.full = True
+    process.dispatcher.deliver(Ping(0), 'x')
+    assert [echo.seen[0], echo.seen[1][0], echo.seen[2]] == [0, 'failed', 1]
+
+
 def test_timer_of_a_killed_process_does_not_fire():
     cluster, echoes = start_pair()
     cluster.kill('a')
