--- /dev/null
+++ b/shallotwharf/components/ledger/answers.py
@@ -0,0 +1,28 @@
+"""Answers to commands that are not accepted, and how they are counted."""
+
+from shallotwharf.components.ledger import const, messages
+from shallotwharf.components.tables import document, version
+from shallotwharf.core import effects, schema
+from shallotwharf.core import messages as core_messages
+
+
+def refuse(reason: str, detail: str) -> messages.EditRefused:
+    """Return a refusal; a long detail is cut."""
+    return messages.EditRefused(reason, detail[: const.MAX_DETAIL_LENGTH])
+
+
+def check_tables(tables: version.Tables) -> messages.EditRefused | None:
+    """Return the refusal of tables that are not valid."""
+    try:
+        document.check_tables(tables)
+    except ExceptionGroup as faults:
+        detail = '; '.join(schema.format_errors(faults))
+        return refuse(const.REASON_INVALID, detail)
+    return None
+
+
+def count(reply: core_messages.Message) -> effects.Effect:
+    """Return the effect that counts an answer by its type and reason."""
+    reason = getattr(reply, 'reason', '')
+    suffix = f'.{reason}' if reason else ''
+    return effects.Count(f'{reply.tag}{suffix}')
--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -4,6 +4,7 @@
 import typing
 
 from shallotwharf.components.ledger import (
+    answers,
     const,
     history,
     holders,
@@ -13,9 +14,9 @@
     snapshot,
 )
 from shallotwharf.components.replica import messages as replica_messages
-from shallotwharf.components.tables import document, version
 from shallotwharf.components.tables import messages as tables_messages
-from shallotwharf.core import aggregate, effects, schema
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, effects
 from shallotwharf.core import messages as core_messages
 
 _Edit: typing.TypeAlias = messages.ApplyEdit | messages.Revert
@@ -86,7 +87,7 @@
         self._applied = committed.index
         before = self.current.number
         reply = getattr(self, method)(committed.command)
-        step: list[effects.Effect] = []
+        step: list[effects.Effect] = [answers.count(reply)]
         if self.current.number > before:
             step.append(self._publish_current())
         if committed.request:
@@ -172,18 +173,18 @@
         tables: version.Tables | None,
     ) -> core_messages.Message | None:
         if command.base > self.current.number:
-            return _refuse(
+            return answers.refuse(
                 const.REASON_UNKNOWN_BASE,
                 f'version {command.base} does not exist',
             )
         if command.base < self._history.tables_number:
             return self._build_conflict(command.base)
         if tables is None:
-            return _refuse(
+            return answers.refuse(
                 const.REASON_UNKNOWN_VERSION,
                 'the version is not in the history',
             )
-        return _check_tables(tables)
+        return answers.check_tables(tables)
 
     def _build_conflict(self, base: int) -> messages.EditConflict:
         winner = self._history.find_winner(base)
@@ -211,9 +212,9 @@
     def _step_move(self, command: messages.StepMove) -> core_messages.Message:
         move = moves.find_move(self.current, command.move_id)
         if move is None or not moves.is_open(move):
-            return _refuse(const.REASON_MOVE, command.move_id)
+            return answers.refuse(const.REASON_MOVE, command.move_id)
         if not moves.is_valid_step(command):
-            return _refuse(
+            return answers.refuse(
                 const.REASON_STEP,
                 f'share={command.share} state={command.state}',
             )
@@ -227,7 +228,7 @@
     def _take_back(self, command: messages.TakeBack) -> core_messages.Message:
         move = moves.find_move(self.current, command.move_id)
         if move is None or move.state == version.STATE_TAKEN_BACK:
-            return _refuse(const.REASON_MOVE, command.move_id)
+            return answers.refuse(const.REASON_MOVE, command.move_id)
         taken = move.replace(
             share=0,
             state=version.STATE_TAKEN_BACK,
@@ -260,7 +261,7 @@
     ) -> core_messages.Message:
         fault = holders.find_fault(self.current.holders, command.groups)
         if fault:
-            return _refuse(const.REASON_HOLDERS, fault)
+            return answers.refuse(const.REASON_HOLDERS, fault)
         target = self.current.replace(
             number=self.current.number + 1,
             holders=command.groups,
@@ -279,21 +280,6 @@
         return messages.EditAccepted(row.number, row.digest)
 
 
-def _check_tables(
-    tables: version.Tables,
-) -> core_messages.Message | None:
-    try:
-        document.check_tables(tables)
-    except ExceptionGroup as faults:
-        detail = '; '.join(schema.format_errors(faults))
-        return _refuse(const.REASON_INVALID, detail)
-    return None
-
-
-def _refuse(reason: str, detail: str) -> messages.EditRefused:
-    return messages.EditRefused(reason, detail[: const.MAX_DETAIL_LENGTH])
-
-
 _COMMANDS: typing.Final = types.MappingProxyType(
     {
         messages.ApplyEdit: '_apply_edit',
--- a/shallotwharf/components/ledger/requests.py
+++ b/shallotwharf/components/ledger/requests.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from shallotwharf.components.ledger import const, messages
+from shallotwharf.components.ledger import answers, const, messages
 from shallotwharf.core import digest as core_digest
 from shallotwharf.core import identifiers, records
 from shallotwharf.core import messages as core_messages
@@ -71,12 +71,12 @@
         try:
             time = identifiers.read_time(command.request_id)
         except ValueError as error:
-            return _refuse(const.REASON_BAD_ID, str(error))
+            return answers.refuse(const.REASON_BAD_ID, str(error))
         record = self._records.get(command.request_id)
         if record is not None:
             if record.digest == compute_digest(command):
                 return record.reply
-            return _refuse(
+            return answers.refuse(
                 const.REASON_REUSED,
                 'another request was sent with this id',
             )
@@ -99,12 +99,12 @@
     ) -> core_messages.Message | None:
         oldest = at - const.REQUEST_LIFETIME_MS
         if time < oldest or time <= self.dropped_until:
-            return _refuse(
+            return answers.refuse(
                 const.REASON_EXPIRED,
                 'the request id is older than its lifetime of 24 h',
             )
         if time > at + const.CLOCK_TOLERANCE_MS:
-            return _refuse(
+            return answers.refuse(
                 const.REASON_FUTURE,
                 f'the request id is {time - at} ms ahead of the clock',
             )
@@ -114,7 +114,3 @@
 def compute_digest(command: messages.ApplyEdit | messages.Revert) -> bytes:
     """Return the digest of a request, whenever it is sent."""
     return core_digest.compute_digest(command.tag, command.replace(at=0))
-
-
-def _refuse(reason: str, detail: str) -> messages.EditRefused:
-    return messages.EditRefused(reason, detail)
--- a/shallotwharf/components/replica/duties.py
+++ b/shallotwharf/components/replica/duties.py
@@ -102,9 +102,19 @@
         """Tell whether the group may be changed; answer if not."""
         refusal = self.find_refusal(None, now)
         if refusal is not None:
-            self._kernel.outbox.answer(request, refusal)
+            self.refuse(request, refusal)
         return refusal is None
 
+    def refuse(
+        self,
+        request: str,
+        refusal: core_messages.Message,
+    ) -> None:
+        """Answer a request that was not appended."""
+        reason = getattr(refusal, 'reason', 'not_leader')
+        self._kernel.outbox.add(effects.Count(f'replica.refused.{reason}'))
+        self._kernel.outbox.answer(request, refusal)
+
     def step_down(self, now: int) -> None:
         """Stop leading."""
         self._kernel.follow('')
@@ -116,6 +126,7 @@
         A leader keeps its lease, so that it stays readable, until another
         process takes over.
         """
+        self._report('writes_suspended', retry_ms=const.PROBE_MS)
         led = self._kernel.undo()
         self._kernel.storage_failed = True
         self._kernel.failed_at = now
@@ -143,8 +154,17 @@
         if current != self._published:
             self._published = current
             self._kernel.outbox.add(effects.Publish(current))
+            self._report(
+                'leader_changed',
+                leader=current.leader,
+                leading=current.leading,
+                term=self._kernel.term,
+            )
         return self._kernel.outbox.take()
 
+    def _report(self, event: str, **fields: object) -> None:
+        self._kernel.outbox.add(effects.Report(event, fields))
+
     def _campaign(self, now: int) -> None:
         if self._kernel.role == const.ROLE_LEADER:
             return
@@ -181,6 +201,7 @@
         """Write the state again; `StoreFailed` follows if that fails."""
         if self._kernel.storage_failed:
             self._kernel.storage_failed = False
+            self._report('writes_resumed')
             self._kernel.change_term(self._kernel.term, self._kernel.vote)
 
 
--- a/shallotwharf/components/replica/founding.py
+++ b/shallotwharf/components/replica/founding.py
@@ -34,7 +34,7 @@
 class Founding:
     """Greets the voters of the settings until there is a configuration."""
 
-    __slots__ = ('_kernel', '_voters', '_seen', '_known')
+    __slots__ = ('_kernel', '_voters', '_seen', '_known', '_greeters')
 
     def __init__(
         self,
@@ -45,6 +45,8 @@
         self._voters = tuple(sorted(voters))
         self._seen: dict[str, _Seen] = {}
         self._known: set[str] = set(voters)
+        # The latest disk that each process showed.
+        self._greeters: dict[str, str] = {}
 
     def greet(self, now: int) -> None:
         """Ask all known processes; found the group if that is due."""
@@ -71,6 +73,7 @@
 
     def answer(self, message: protocol.Greet, sender: str) -> None:
         """Tell a greeter what this process has."""
+        self._greeters[sender] = message.identity
         self._kernel.outbox.send(
             sender,
             protocol.Greeting(
@@ -124,6 +127,18 @@
         members = founding.command
         if not isinstance(members, configuration.Configuration):
             return
+        if self._is_stale(members):
+            return
         if members.is_voter(self._kernel.identity):
             self._kernel.change_term(max(founding.term, self._kernel.term))
             self._kernel.append((founding,))
+
+    def _is_stale(self, members: configuration.Configuration) -> bool:
+        """Tell whether a voter showed another disk since.
+
+        Its answer may have let a founder with an emptied disk begin anew.
+        """
+        return any(
+            self._greeters.get(voter.name, voter.identity) != voter.identity
+            for voter in members.voters
+        )
--- a/shallotwharf/components/replica/kernel.py
+++ b/shallotwharf/components/replica/kernel.py
@@ -138,6 +138,8 @@
 
     def follow(self, leader: str) -> None:
         """Become follower; requests that wait get no certain answer."""
+        if self.role == const.ROLE_LEADER:
+            self.outbox.add(effects.Count('replica.stepped_down'))
         self.role = const.ROLE_FOLLOWER
         self.leader = leader
         for request in self.pending.values():
@@ -185,7 +187,8 @@
         self.snapshot_wanted = False
         term = self.log.find_term(taken.index)
         held = 0 if self.snapshot is None else self.snapshot.index
-        if term is None or not held < taken.index <= self.commit:
+        current = held < taken.index <= self.commit
+        if self.storage_failed or term is None or not current:
             return
         self.snapshot = stored.Snapshot(
             taken.index,
--- a/shallotwharf/components/replica/leadership.py
+++ b/shallotwharf/components/replica/leadership.py
@@ -40,6 +40,7 @@
         self._kernel.role = const.ROLE_LEADER
         self._kernel.leader = self._kernel.name
         self._kernel.outbox.add(effects.CancelTimer(const.TIMER_ELECTION))
+        self._kernel.outbox.add(effects.Count('replica.elected'))
         self._peers = {}
         self._began_at = now
         self._first = self._kernel.log.last_index + 1
@@ -73,7 +74,7 @@
             self._update_peers()
         for peer in self._peers.values():
             self._replicate(peer, now)
-        self._advance_commit()
+        self._advance_commit(now)
         return index
 
     def beat(self, now: int) -> None:
@@ -116,6 +117,14 @@
         for peer in self._peers.values():
             peer.go_back(self._kernel.log.last_index + 1)
 
+    def is_silent(self, name: str, now: int) -> bool:
+        """Tell whether a follower has not answered for a while."""
+        return all(
+            now - max(peer.acked_at, self._began_at) >= const.ELECTION_MAX_MS
+            for peer in self._peers.values()
+            if peer.member.name == name
+        )
+
     def receive_reply(self, message: protocol.AppendReply, now: int) -> None:
         """Take note of a follower's answer and send what it needs."""
         peer = self._peers.get(message.identity)
@@ -124,7 +133,7 @@
         peer.acknowledge(message.sent_at, message.writable)
         if message.accepted:
             peer.accept(message.index)
-            self._advance_commit()
+            self._advance_commit(now)
         else:
             peer.go_back(message.index)
         self._replicate(peer, now)
@@ -140,7 +149,7 @@
             return
         peer.acked_at = max(peer.acked_at, message.sent_at)
         if peer.accept_part(message.index, message.part):
-            self._advance_commit()
+            self._advance_commit(now)
         self._replicate(peer, now)
 
     def _voters(self) -> tuple[configuration.Member, ...]:
@@ -167,13 +176,15 @@
             for member in members
         }
 
-    def _advance_commit(self) -> None:
+    def _advance_commit(self, now: int) -> None:
         matches = sorted(map(self._read_match, self._voters()), reverse=True)
         index = matches[self._kernel.members.majority - 1]
         # An entry of an earlier term may still be replaced although a
         # majority has it; it commits with one of the own term.
         if index > self._kernel.commit and index >= self._first:
             self._kernel.commit_to(index)
+            for peer in self._peers.values():
+                self._send_entries(peer, (), now)
 
     def _replicate(self, peer: progress.Progress, now: int) -> bool:
         """Send what a follower needs; return whether anything was sent."""
--- a/shallotwharf/components/replica/membership.py
+++ b/shallotwharf/components/replica/membership.py
@@ -9,6 +9,7 @@
     progress,
     protocol,
 )
+from shallotwharf.core import effects
 
 
 class Membership:
@@ -39,40 +40,29 @@
         )
 
     def receive_greet(self, greeter: configuration.Member, now: int) -> None:
-        """Make a process that lost its disk a learner."""
+        """Make a process that lost its disk a learner.
+
+        The voter of that name must be silent: a second process that was
+        started under its name must not replace it.
+        """
         self._candidates[greeter.name] = greeter
         members = self._kernel.members
         if members.is_member(greeter.identity):
             return
-        if members.has_name(greeter.name) and self.idle:
+        lost = self._leadership.is_silent(greeter.name, now)
+        if members.has_name(greeter.name) and lost and self.idle:
             self._change(members.with_learner(greeter), now)
 
-    def add(self, message: messages.AddMember, now: int) -> None:
-        """Add a process that greeted as a learner."""
-        candidate = self._candidates.get(message.name)
-        members = self._kernel.members
-        if candidate is None or members.is_member(candidate.identity):
-            self._refuse(message.request, 'unknown_member')
-        elif self.idle:
-            self._change(members.with_learner(candidate), now)
-            self._accept(message.request)
-        else:
-            self._refuse(message.request, 'change_in_progress')
-
-    def remove(self, message: messages.RemoveMember, now: int) -> None:
-        """Remove a voter or learner; the last voter stays."""
-        members = self._kernel.members
-        left = members.without(message.name)
-        if not members.has_name(message.name):
-            self._refuse(message.request, 'unknown_member')
-        elif not left.voters:
-            self._refuse(message.request, 'last_voter')
-        elif self.idle:
-            self._candidates.pop(message.name, None)
-            self._change(left, now)
-            self._accept(message.request)
+    def change(
+        self,
+        message: messages.AddMember | messages.RemoveMember,
+        now: int,
+    ) -> None:
+        """Change the group as an operator wants."""
+        if isinstance(message, messages.AddMember):
+            self._add(message, now)
         else:
-            self._refuse(message.request, 'change_in_progress')
+            self._remove(message, now)
 
     def promote_learners(self, now: int) -> None:
         """Make a learner that has the whole log a voter."""
@@ -97,6 +87,33 @@
                 return True
         return False
 
+    def _add(self, message: messages.AddMember, now: int) -> None:
+        """Add a process that greeted as a learner."""
+        candidate = self._candidates.get(message.name)
+        members = self._kernel.members
+        if candidate is None or members.is_member(candidate.identity):
+            self._refuse(message.request, 'unknown_member')
+        elif self.idle:
+            self._change(members.with_learner(candidate), now)
+            self._accept(message.request)
+        else:
+            self._refuse(message.request, 'change_in_progress')
+
+    def _remove(self, message: messages.RemoveMember, now: int) -> None:
+        """Remove a voter or learner; the last voter stays."""
+        members = self._kernel.members
+        left = members.without(message.name)
+        if not members.has_name(message.name):
+            self._refuse(message.request, 'unknown_member')
+        elif not left.voters:
+            self._refuse(message.request, 'last_voter')
+        elif self.idle:
+            self._candidates.pop(message.name, None)
+            self._change(left, now)
+            self._accept(message.request)
+        else:
+            self._refuse(message.request, 'change_in_progress')
+
     def _is_ready(self, peer: progress.Progress) -> bool:
         return (
             peer.member in self._kernel.members.learners
@@ -118,6 +135,15 @@
         now: int,
     ) -> None:
         self._leadership.append(members, now)
+        self._kernel.outbox.add(
+            effects.Report(
+                'members_changed',
+                {
+                    'voters': _format_members(members.voters),
+                    'learners': _format_members(members.learners),
+                },
+            ),
+        )
 
     def _accept(self, request: str) -> None:
         self._kernel.touched.append(request)
@@ -127,6 +153,10 @@
         self._kernel.outbox.answer(request, messages.ProposalRefused(reason))
 
 
+def _format_members(members: tuple[configuration.Member, ...]) -> str:
+    return ','.join(f'{member.name}/{member.identity}' for member in members)
+
+
 def is_removed(shared: kernel.Kernel) -> bool:
     """Tell whether this process leads a group it no longer votes in."""
     return (
--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -51,8 +51,8 @@
             core_messages.StoreFailed: 'recover_store',
             messages.Propose: 'propose',
             messages.SnapshotTaken: 'take_snapshot',
-            messages.AddMember: 'add_member',
-            messages.RemoveMember: 'remove_member',
+            messages.AddMember: 'change_members',
+            messages.RemoveMember: 'change_members',
             protocol.PreVote: 'answer_pre_vote',
             protocol.RequestVote: 'answer_vote',
             protocol.VoteReply: 'count_vote',
@@ -146,7 +146,7 @@
         """Append a command if this process leads and its disk has room."""
         refusal = self._duties.find_refusal(message.command, now)
         if refusal is not None:
-            self._kernel.outbox.answer(message.request, refusal)
+            self._duties.refuse(message.request, refusal)
             return
         if message.request:
             index = self._kernel.log.last_index + 1
@@ -160,28 +160,17 @@
         _now: int,
     ) -> None:
         """Store the state of the component that applies commands."""
-        if not self._kernel.storage_failed:
-            self._kernel.take_snapshot(message)
+        self._kernel.take_snapshot(message)
 
-    def add_member(
+    def change_members(
         self,
-        message: messages.AddMember,
+        message: messages.AddMember | messages.RemoveMember,
         _sender: str,
         now: int,
     ) -> None:
-        """Add a learner if this process leads."""
+        """Add or remove a member if this process leads."""
         if self._duties.may_change(message.request, now):
-            self._membership.add(message, now)
-
-    def remove_member(
-        self,
-        message: messages.RemoveMember,
-        _sender: str,
-        now: int,
-    ) -> None:
-        """Remove a member if this process leads."""
-        if self._duties.may_change(message.request, now):
-            self._membership.remove(message, now)
+            self._membership.change(message, now)
 
     def fire_timer(
         self,
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -19,6 +19,11 @@
     assert codec.decode(codec.encode(EDIT)) == EDIT
 
 
+def test_message_without_fields_survives():
+    message = replica_messages.OutcomeUnknown()
+    assert codec.decode(codec.encode(message)) == message
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_any_bytes_give_a_message_or_a_protocol_error(encoded):
     try:
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -48,6 +48,8 @@
     def hand_over(self, message):
         reply = None
         for effect in self.ledger.handle(message, '', 0):
+            if isinstance(effect, effects.Count):
+                continue
             if isinstance(effect, effects.Answer):
                 reply = effect.reply
             elif isinstance(effect.message, tables_messages.VersionAccepted):
--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -4,7 +4,7 @@
 """
 
 from shallotwharf.components.ledger import messages as ledger_messages
-from shallotwharf.components.replica import const, messages
+from shallotwharf.components.replica import const, messages, protocol
 from tests.components.replica import groups
 
 SECOND_MS = 1000
@@ -292,3 +292,29 @@
         'r0': messages.ChangeAccepted(),
         'r1': messages.ProposalRefused('change_in_progress'),
     }
+
+
+def test_second_process_with_the_name_of_a_voter_does_not_replace_it():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    follower = list_others(group, leader)[0]
+    deliver = group.cluster.processes[leader].dispatcher.deliver
+    deliver(protocol.Greet('other'), follower)
+    group.run(SECOND_MS)
+    status = group.replicas[leader].read_status()
+    assert not status.members.learners
+    assert f'{follower}1' in read_voters(group)
+
+
+def test_log_is_compacted_again_after_the_disk_was_full():
+    group = groups.Group('abc', snapshot_entries=4)
+    leader = group.wait_for_leader()
+    follower = list_others(group, leader)[0]
+    group.folders[follower].full = True
+    for _ in range(10):
+        group.commit_edit()
+    group.recover()
+    for _ in range(10):
+        group.commit_edit()
+    log = group.replicas[follower]._kernel.log
+    assert log.last_index - log.base < 3 * 4
--- a/tests/components/replica/test_votes.py
+++ b/tests/components/replica/test_votes.py
@@ -5,10 +5,13 @@
 
 import random
 
+import pytest
+
 from shallotwharf.adapters import disk
 from shallotwharf.components.replica import (
     configuration,
     const,
+    log,
     messages,
     protocol,
     replica,
@@ -159,3 +162,33 @@
     message = protocol.AppendEntries(9, 'a0', 1, 1, (), 1, False, 0)
     assert single.hand_over(message) == []
     assert single.replica.read_status().term == 1
+
+
+def test_log_that_a_snapshot_was_about_to_replace_is_dropped():
+    snapshot = stored.Snapshot(3, 4, MEMBERS)
+    old = tuple(stored.Entry(index, 2, stored.Noop()) for index in (2, 3, 4))
+    loaded = log.Log()
+    loaded.load(snapshot, old)
+    assert (loaded.last_index, loaded.last_term) == (3, 4)
+    kept = (*old[:1], *(entry.replace(term=4) for entry in old[1:]))
+    loaded.load(snapshot, kept)
+    assert (loaded.last_index, loaded.find_term(4)) == (4, 4)
+    with pytest.raises(errors.CorruptionError):
+        log.Log().load(snapshot, (stored.Entry(5, 4, stored.Noop()),))
+
+
+def test_founding_by_a_disk_that_was_emptied_since_is_not_adopted():
+    empty = replica.Replica(
+        'c',
+        ('a', 'b', 'c'),
+        storage.Recovered('c1'),
+        random.Random(1),
+    )
+    empty.start(0)
+    greeting = protocol.Greeting('a1', 'c1', True, FOUNDING, '')
+    empty.handle(protocol.Greet('a2'), 'a', 1)
+    empty.handle(greeting, 'a', 2)
+    assert not empty.read_status().members.voters
+    empty.handle(protocol.Greet('a1'), 'a', 3)
+    empty.handle(greeting, 'a', 4)
+    assert empty.read_status().members == MEMBERS
