--- /dev/null
+++ b/shallotwharf/components/once/attempt.py
@@ -0,0 +1,126 @@
+"""One attempt to claim a call at its holders."""
+
+import typing
+
+from shallotwharf.components.once import const, wire
+from shallotwharf.components.tables import version
+
+_KNOWN_ABSENT: typing.Final = frozenset(
+    (const.VERDICT_GRANTED, const.VERDICT_FULL),
+)
+_NO_CLAIM_LEFT: typing.Final = frozenset(
+    (
+        const.VERDICT_CLAIMED,
+        const.VERDICT_FINISHED,
+        const.VERDICT_KEY_REUSED,
+    ),
+)
+
+
+class Attempt:
+    """The answers of the holders to one attempt."""
+
+    __slots__ = (
+        'request',
+        'key',
+        'digest',
+        'token',
+        'group',
+        'epoch',
+        'members',
+        'sent_at',
+        'result',
+        '_verdicts',
+    )
+
+    def __init__(
+        self,
+        request: str,
+        key: str,
+        digest: bytes,
+        token: bytes,
+        group: version.HolderGroup,
+        sent_at: int,
+    ) -> None:
+        self.request = request
+        self.key = key
+        self.digest = digest
+        self.token = token
+        self.group = group.name
+        self.epoch = group.epoch
+        self.members = tuple(member.name for member in group.members)
+        self.sent_at = sent_at
+        self.result: wire.Result | None = None
+        self._verdicts: dict[str, str] = {}
+
+    def build_claim(self) -> wire.Claim:
+        """Return the message to the holders."""
+        return wire.Claim(
+            self.key,
+            self.digest,
+            self.token,
+            self.group,
+            self.epoch,
+        )
+
+    def note(self, answer: wire.ClaimAnswered, sender: str) -> None:
+        """Note the answer of a holder; a grant stays a grant."""
+        if sender not in self.members:
+            return
+        if self._verdicts.get(sender) != const.VERDICT_GRANTED:
+            self._verdicts[sender] = answer.verdict
+        if answer.result is not None and not self.has_whole_result():
+            self.result = answer.result
+
+    def has_whole_result(self) -> bool:
+        """Return whether a holder sent a result that it kept whole."""
+        return self.result is not None and self.result.kept
+
+    def is_granted(self) -> bool:
+        """Return whether a majority granted the claim and it never ran."""
+        return (
+            self.result is None
+            and self._count(const.VERDICT_GRANTED) >= self._majority()
+        )
+
+    def is_answered(self) -> bool:
+        """Return whether all holders gave a verdict that will not change."""
+        return len(self._verdicts) == len(self.members) and not (
+            self._count(const.VERDICT_GROUP_CHANGED)
+        )
+
+    def list_waiting(self) -> list[str]:
+        """Return holders to ask again."""
+        return [
+            member
+            for member in self.members
+            if self._verdicts.get(member, const.VERDICT_GROUP_CHANGED)
+            == const.VERDICT_GROUP_CHANGED
+        ]
+
+    def list_claimed(self) -> list[str]:
+        """Return holders that may keep a claim of this attempt."""
+        return [
+            member
+            for member in self.members
+            if self._verdicts.get(member) not in _NO_CLAIM_LEFT
+        ]
+
+    def has_verdict(self, verdict: str) -> bool:
+        """Return whether a holder gave a verdict."""
+        return verdict in self._verdicts.values()
+
+    def is_known_absent(self) -> bool:
+        """Return whether a majority had no record of the key."""
+        absent = [
+            verdict
+            for verdict in self._verdicts.values()
+            if verdict in _KNOWN_ABSENT
+        ]
+        return len(absent) >= self._majority()
+
+    def _count(self, verdict: str) -> int:
+        return list(self._verdicts.values()).count(verdict)
+
+    def _majority(self) -> int:
+        return len(self.members) // 2 + 1
--- /dev/null
+++ b/shallotwharf/components/once/const.py
@@ -0,0 +1,88 @@
+"""Times and limits of once-only calls."""
+
+import typing
+
+# A holder keeps a record for this long after the claim.
+LIFETIME_MS: typing.Final = 600_000
+# Keys that a coordinator accepts, by its own wall clock.
+KEY_AGE_MS: typing.Final = 530_000
+KEY_FUTURE_MS: typing.Final = 20_000
+# Keys that a holder accepts, by its own wall clock. The sum is below the
+# lifetime, so that a holder never accepts a key whose record it dropped; the
+# 30 s that remain are for clocks that differ between holders.
+HOLDER_KEY_AGE_MS: typing.Final = 540_000
+HOLDER_KEY_FUTURE_MS: typing.Final = 30_000
+
+# Grants that arrive later than this after the claim was first sent do not
+# count: a holder that restarts relies on it when it copies records.
+CLAIM_TIMEOUT_MS: typing.Final = 1000
+CLAIM_RESEND_MS: typing.Final = 200
+# A granted call starts within this time or never. A key that is accepted at
+# its greatest age starts before its lifetime ends.
+GRANT_MS: typing.Final = 60_000
+
+# A holder that restarted copies records after this time, when each attempt
+# that counted a grant of its earlier run has been decided.
+RECOVERY_WAIT_MS: typing.Final = 2 * CLAIM_TIMEOUT_MS
+# A copy that is not complete by then begins anew.
+COPY_TIMEOUT_MS: typing.Final = 5000
+COPY_RECORDS: typing.Final = 500
+PEEK_PERIOD_MS: typing.Final = 1000
+SETTLED_PEEK_PERIOD_MS: typing.Final = 10_000
+
+# Larger answers are not kept, only the fact that the call ran.
+MAX_BODY_BYTES: typing.Final = 65_536
+# Limits of one holder: about 20 MB of records and 16 MiB of answers.
+MAX_RECORDS: typing.Final = 40_000
+MAX_KEPT_BYTES: typing.Final = 16_777_216
+# Tokens of released claims, so that a late copy of the claim is ignored.
+MAX_RELEASED: typing.Final = 10_000
+
+# Results of calls are resent until a majority has acknowledged them, after
+# pauses that double from this one: 8 attempts take 64 s.
+RESULT_RESEND_MS: typing.Final = 500
+RESULT_ATTEMPTS: typing.Final = 8
+# A release that is lost blocks a resend of the call, but runs nothing twice.
+RELEASE_ATTEMPTS: typing.Final = 4
+# Attempts that go on for the third holder after a majority acknowledged.
+RESULT_EXTRA_ATTEMPTS: typing.Final = 2
+# Messages resent at once, so that unreachable holders do not take the loop.
+RESENDS_AT_ONCE: typing.Final = 200
+MAX_RESULTS: typing.Final = 10_000
+
+# Verdicts of a holder on a claim.
+VERDICT_GRANTED: typing.Final = 'granted'
+VERDICT_CLAIMED: typing.Final = 'claimed'
+VERDICT_FINISHED: typing.Final = 'finished'
+VERDICT_KEY_REUSED: typing.Final = 'key_reused'
+VERDICT_ABSTAINING: typing.Final = 'abstaining'
+VERDICT_GROUP_CHANGED: typing.Final = 'group_changed'
+VERDICT_KEY_EXPIRED: typing.Final = 'key_expired'
+VERDICT_RELEASED: typing.Final = 'released'
+VERDICT_FULL: typing.Final = 'full'
+
+# Reasons of refusals.
+REASON_KEY_INVALID: typing.Final = 'idempotency_key_invalid'
+REASON_KEY_EXPIRED: typing.Final = 'idempotency_key_expired'
+REASON_KEY_IN_FUTURE: typing.Final = 'idempotency_key_in_future'
+REASON_KEY_REUSED: typing.Final = 'idempotency_key_reused'
+REASON_NO_HOLDERS: typing.Final = 'no_holders'
+REASON_UNREACHABLE: typing.Final = 'holders_unreachable'
+REASON_ABSTAINING: typing.Final = 'holders_abstaining'
+REASON_FULL: typing.Final = 'holders_full'
+REASON_IN_PROGRESS: typing.Final = 'in_progress'
+REASON_OUTCOME_UNKNOWN: typing.Final = 'outcome_unknown'
+REASON_ANSWER_NOT_KEPT: typing.Final = 'answer_not_kept'
+
+# Assignment of holder groups.
+GROUPS: typing.Final = 30
+GROUP_SIZE: typing.Final = 3
+ASSIGN_PERIOD_MS: typing.Final = 5000
+# A holder that was not heard of for this long is replaced.
+REPLACE_AFTER_MS: typing.Final = 600_000
+REPORT_PERIOD_MS: typing.Final = 10_000
+FIRST_REPORT_PERIOD_MS: typing.Final = 2000
+# Reports older than this do not show that a holder is settled.
+REPORT_FRESH_MS: typing.Final = 30_000
+# The first assignment waits this long for nodes that saw no groups before.
+FIRST_WAIT_MS: typing.Final = 60_000
--- /dev/null
+++ b/shallotwharf/components/once/coordinator.py
@@ -0,0 +1,301 @@
+"""Coordinator of once-only calls on the node that accepts them."""
+
+import random
+import types
+import typing
+from collections import abc
+
+from shallotwharf.components.once import (
+    attempt,
+    const,
+    keys,
+    messages,
+    outbox,
+    refusals,
+    wire,
+)
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, effects, rendezvous
+from shallotwharf.core import messages as core_messages
+
+Effects: typing.TypeAlias = list[effects.Effect]
+
+_TOKEN_BYTES: typing.Final = 12
+_RESULTS_TIMER: typing.Final = 'results'
+
+
+class Coordinator(aggregate.Aggregate):
+    """Lets a call run only after a majority of its holders has claimed it.
+
+    A refusal says `OUTCOME_NOT_RUN` only where it is certain that no earlier
+    attempt ran. When holders cannot be reached, an earlier attempt elsewhere
+    may have run, so that the outcome is unknown; a resend with the same key
+    is safe in both cases.
+
+    Args:
+        source: source of randomness, unlike that of any other process.
+    """
+
+    name = 'once.coordinator'
+    handlers = {
+        core_messages.TimerFired: 'fire',
+        tables_messages.VersionApplied: 'apply_version',
+        messages.BeginCall: 'begin',
+        messages.CallFinished: 'finish',
+        wire.ClaimAnswered: 'accept_verdict',
+        wire.Recorded: 'accept_recorded',
+    }
+
+    __slots__ = (
+        '_random',
+        '_groups',
+        '_attempts',
+        '_granted',
+        '_outbox',
+        '_resending',
+    )
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._groups: abc.Mapping[str, version.HolderGroup] = (
+            types.MappingProxyType({})
+        )
+        # Open attempts by token, and granted ones by key.
+        self._attempts: dict[bytes, attempt.Attempt] = {}
+        self._granted: dict[str, attempt.Attempt] = {}
+        self._outbox = outbox.Outbox()
+        self._resending = False
+
+    def start(self, _now: int) -> Effects:
+        """Do nothing until a call arrives."""
+        return []
+
+    def apply_version(
+        self,
+        message: tables_messages.VersionApplied,
+        _sender: str,
+        _now: int,
+    ) -> Effects:
+        """Take the groups of a version."""
+        self._groups = {group.name: group for group in message.applied.holders}
+        return []
+
+    def begin(
+        self,
+        message: messages.BeginCall,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Claim a call at its holders."""
+        key = keys.normalize(message.key)
+        refusal = refusals.check_key(key, message.wall_now)
+        if refusal is None and not self._groups:
+            refusal = messages.CallRefused(
+                const.REASON_NO_HOLDERS,
+                messages.OUTCOME_UNKNOWN,
+            )
+        if refusal is not None:
+            return refusals.refuse(message.request, refusal)
+        # The names of groups are fixed for a cluster, so that a key meets
+        # the same group on all nodes and at all times.
+        ranked = rendezvous.rank_members(key, self._groups)
+        opened = attempt.Attempt(
+            message.request,
+            key,
+            message.digest,
+            self._random.randbytes(_TOKEN_BYTES),
+            self._groups[ranked[0]],
+            now,
+        )
+        self._attempts[opened.token] = opened
+        return self._claim(opened, opened.members, now)
+
+    def accept_verdict(
+        self,
+        message: wire.ClaimAnswered,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Note the verdict of a holder and decide if it suffices."""
+        opened = self._attempts.get(message.token)
+        if opened is None:
+            return []
+        if now >= opened.sent_at + const.CLAIM_TIMEOUT_MS:
+            # This process was frozen; the grant may be lost since.
+            return self._refuse_attempt(opened, now)
+        opened.note(message, sender)
+        if opened.has_whole_result():
+            return self._replay(opened, now)
+        if opened.is_granted():
+            return self._grant(opened, now)
+        if opened.is_answered():
+            return self._refuse_attempt(opened, now)
+        return []
+
+    def accept_recorded(
+        self,
+        message: wire.Recorded,
+        sender: str,
+        _now: int,
+    ) -> Effects:
+        """Note that a holder has the result or release of an attempt."""
+        self._outbox.acknowledge(message.token, sender)
+        return []
+
+    def finish(
+        self,
+        message: messages.CallFinished,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Tell the holders how a granted call ended."""
+        ended = self._granted.pop(keys.normalize(message.key), None)
+        if ended is None:
+            return [effects.Count('once.finished.unexpected')]
+        if message.outcome == messages.OUTCOME_NOT_RUN:
+            return self._release(ended, ended.members, now)
+        kept = len(message.body) <= const.MAX_BODY_BYTES
+        result = wire.Result(
+            message.outcome,
+            message.status,
+            message.content_type,
+            message.body if kept else b'',
+            kept,
+        )
+        return self._spread_result(ended, result, ended.members, now)
+
+    def fire(
+        self,
+        message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Ask holders again, give up an attempt, or resend results."""
+        if message.name == _RESULTS_TIMER:
+            self._resending = False
+            return [*self._outbox.resend(), *self._set_results_timer(now)]
+        opened = self._attempts.get(bytes.fromhex(message.name))
+        if opened is None:
+            return []
+        if now >= opened.sent_at + const.CLAIM_TIMEOUT_MS:
+            return self._refuse_attempt(opened, now)
+        return self._claim(opened, opened.list_waiting(), now)
+
+    def _claim(
+        self,
+        opened: attempt.Attempt,
+        members: abc.Iterable[str],
+        now: int,
+    ) -> Effects:
+        claim = opened.build_claim()
+        return [
+            *(effects.Send(member, claim) for member in members),
+            effects.SetTimer(
+                opened.token.hex(),
+                now + const.CLAIM_RESEND_MS,
+            ),
+        ]
+
+    def _grant(self, opened: attempt.Attempt, now: int) -> Effects:
+        self._granted[opened.key] = opened
+        self._forget_granted(now)
+        granted = messages.CallGranted(opened.sent_at + const.GRANT_MS)
+        return [
+            effects.Answer(opened.request, granted),
+            effects.Count('once.granted'),
+            *self._close(opened),
+        ]
+
+    def _replay(self, opened: attempt.Attempt, now: int) -> Effects:
+        result = typing.cast(wire.Result, opened.result)
+        reply: core_messages.Message = messages.CallReplayed(
+            result.status,
+            result.content_type,
+            result.body,
+        )
+        if result.outcome != messages.OUTCOME_RUN:
+            reply = messages.CallRefused(
+                const.REASON_OUTCOME_UNKNOWN,
+                messages.OUTCOME_UNKNOWN,
+            )
+        elif not result.kept:
+            reply = messages.CallRefused(
+                const.REASON_ANSWER_NOT_KEPT,
+                messages.OUTCOME_RUN,
+            )
+        return [
+            effects.Answer(opened.request, reply),
+            effects.Count('once.replayed'),
+            *self._close(opened),
+            *self._spread_result(opened, result, opened.list_claimed(), now),
+        ]
+
+    def _refuse_attempt(self, opened: attempt.Attempt, now: int) -> Effects:
+        if opened.result is not None:
+            return self._replay(opened, now)
+        return [
+            *refusals.refuse(opened.request, refusals.explain(opened)),
+            *self._close(opened),
+            *self._release(opened, opened.list_claimed(), now),
+        ]
+
+    def _close(self, opened: attempt.Attempt) -> Effects:
+        self._attempts.pop(opened.token, None)
+        return [effects.CancelTimer(opened.token.hex())]
+
+    def _release(
+        self,
+        ended: attempt.Attempt,
+        members: abc.Iterable[str],
+        now: int,
+    ) -> Effects:
+        release = wire.Release(ended.key, ended.token, ended.group)
+        return [
+            *self._outbox.add(
+                ended.token,
+                release,
+                members,
+                const.RELEASE_ATTEMPTS,
+            ),
+            *self._set_results_timer(now),
+        ]
+
+    def _spread_result(
+        self,
+        ended: attempt.Attempt,
+        result: wire.Result,
+        members: abc.Iterable[str],
+        now: int,
+    ) -> Effects:
+        finish = wire.Finish(
+            ended.key,
+            ended.digest,
+            ended.token,
+            ended.group,
+            result,
+        )
+        return [
+            *self._outbox.add(
+                ended.token,
+                finish,
+                members,
+                const.RESULT_ATTEMPTS,
+            ),
+            *self._set_results_timer(now),
+        ]
+
+    def _set_results_timer(self, now: int) -> Effects:
+        if self._resending or self._outbox.is_empty():
+            return []
+        self._resending = True
+        resend_at = now + const.RESULT_RESEND_MS
+        return [effects.SetTimer(_RESULTS_TIMER, resend_at)]
+
+    def _forget_granted(self, now: int) -> None:
+        """Drop grants whose end was never told."""
+        while self._granted:
+            oldest = next(iter(self._granted.values()))
+            if now - oldest.sent_at <= 2 * const.LIFETIME_MS:
+                return
+            self._granted.pop(oldest.key)
--- a/shallotwharf/components/once/messages.py
+++ b/shallotwharf/components/once/messages.py
@@ -67,6 +67,7 @@
     Attributes:
         reason: name of the reason, such as `holders_unreachable`.
         outcome: `OUTCOME_NOT_RUN` if it surely did not run before either,
+            `OUTCOME_RUN` if it ran and its answer was too large to be kept,
             else `OUTCOME_UNKNOWN`.
     """
 
--- /dev/null
+++ b/shallotwharf/components/once/refusals.py
@@ -0,0 +1,57 @@
+"""Reasons why a once-only call does not run."""
+
+import typing
+
+from shallotwharf.components.once import attempt, const, keys, messages
+from shallotwharf.core import effects
+
+# Reason of a refusal by the verdicts that were given, first match first.
+_REASONS: typing.Final = (
+    (const.VERDICT_KEY_REUSED, const.REASON_KEY_REUSED),
+    (const.VERDICT_CLAIMED, const.REASON_IN_PROGRESS),
+    (const.VERDICT_KEY_EXPIRED, const.REASON_KEY_EXPIRED),
+    (const.VERDICT_ABSTAINING, const.REASON_ABSTAINING),
+)
+
+
+def check_key(key: str, wall_now: int) -> messages.CallRefused | None:
+    """Return why a normalized key is not accepted at a wall time."""
+    unknown = messages.OUTCOME_UNKNOWN
+    if not key:
+        return messages.CallRefused(
+            const.REASON_KEY_INVALID,
+            messages.OUTCOME_NOT_RUN,
+        )
+    age_ms = wall_now - keys.read_time(key)
+    if age_ms > const.KEY_AGE_MS:
+        return messages.CallRefused(const.REASON_KEY_EXPIRED, unknown)
+    if age_ms < -const.KEY_FUTURE_MS:
+        return messages.CallRefused(const.REASON_KEY_IN_FUTURE, unknown)
+    return None
+
+
+def explain(opened: attempt.Attempt) -> messages.CallRefused:
+    """Return why an attempt without result was given up."""
+    for verdict, reason in _REASONS:
+        if opened.has_verdict(verdict):
+            return messages.CallRefused(reason, messages.OUTCOME_UNKNOWN)
+    if opened.is_known_absent():
+        return messages.CallRefused(
+            const.REASON_FULL,
+            messages.OUTCOME_NOT_RUN,
+        )
+    return messages.CallRefused(
+        const.REASON_UNREACHABLE,
+        messages.OUTCOME_UNKNOWN,
+    )
+
+
+def refuse(
+    request: str,
+    refusal: messages.CallRefused,
+) -> list[effects.Effect]:
+    """Return the effects that answer a request with a refusal."""
+    return [
+        effects.Answer(request, refusal),
+        effects.Count(f'once.refused.{refusal.reason}'),
+    ]
--- a/shallotwharf/components/tables/version.py
+++ b/shallotwharf/components/tables/version.py
@@ -88,13 +88,26 @@
 
 
 class HolderGroup(records.Record):
-    """Three nodes that keep the same records of once-only calls."""
+    """Three nodes that keep the same records of once-only calls.
 
-    __slots__ = ('name', 'members')
+    Attributes:
+        name: fixed for the life of the cluster.
+        members: the nodes.
+        epoch: 0 at first, raised by one with each change of members, so that
+            a member that was out of the group for a while can tell.
+    """
+
+    __slots__ = ('name', 'members', 'epoch')
 
-    def __init__(self, name: str, members: tuple[Holder, ...]) -> None:
+    def __init__(
+        self,
+        name: str,
+        members: tuple[Holder, ...],
+        epoch: int = 0,
+    ) -> None:
         self.name = name
         self.members = members
+        self.epoch = epoch
 
 
 class Version(records.Record):
