Wire once-only records into the node

Cause: the coordinator and the holders had no process around them.

Change: each node runs both; the tests' nodes name a seed of their own data centre.

--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -10,6 +10,7 @@
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.move import watcher
+from shallotwharf.components.once import coordinator, holder
 from shallotwharf.components.upstream import gate
 from shallotwharf.components.upstream import messages as upstream_messages
 from shallotwharf.components.upstream import settings as gate_settings
@@ -122,6 +123,13 @@
         (
             addresses.AddressBook(frame.links),
             move_watcher,
+            holder.Holder(
+                settings.name,
+                started_at,
+                started_at - frame.clock.read(),
+                names,
+            ),
+            coordinator.Coordinator(frame.random),
             relay.Relay(member, control, frame.random),
             membership.Membership(
                 member,
--- a/tests/processes/processes.py
+++ b/tests/processes/processes.py
@@ -89,12 +89,7 @@
                 'admin_port': admin,
                 'control': self.control,
             }
-        first = next(iter(self.nodes.values()))
-        for node in self.nodes.values():
-            if node is not first:
-                node['seeds'] = [
-                    {key: first[key] for key in ('name', 'host', 'link_port')}
-                ]
+        self._set_seeds()
 
     def start_all(self):
         for peer in self.control:
@@ -167,6 +162,15 @@
     def read_log(self, name):
         return (self.folder / f'{name}.log').read_text()
 
+    def _set_seeds(self):
+        firsts = {}
+        for node in self.nodes.values():
+            first = firsts.setdefault(node['datacentre'], node)
+            if node is not first:
+                node['seeds'] = [
+                    {key: first[key] for key in ('name', 'host', 'link_port')}
+                ]
+
     def _start_role(self, role, name, settings):
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings))
