Read and write HTTP messages without a task for each

Cause: the path through one node took 780 us of CPU a call on tornado's server and HTTP1Connection, most of it in futures, coroutines and epoll changes, while a call may be delayed by 400 us.

Change: adapters.wire splits the bytes of asyncio's transports into messages; start lines, header lines and lengths are still parsed by tornado. inbound and outbound handle a message within the event that completes it. measurements/latency.py compares the ways of forwarding.

Latency under a load average of 23 on 10 CPUs is dominated by scheduling, to be measured again.

--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module runs on its own and prints its figures."""
--- /dev/null
+++ b/measurements/latency.py
@@ -0,0 +1,449 @@
+"""Latency that each way of forwarding a call adds, over loopback.
+
+    python -m measurements.latency --calls 3000 --rate 200
+
+One client calls all variants in turn, call by call, so that all see the same
+machine: the upstream directly, a plain asyncio byte relay, tornado's server
+with each outbound client (curl client, pycurl's multi interface,
+HTTP1Connection, the adapter `outbound`), and the system's own path through
+one node (which is also the gate) and through two. Each server is a process
+of its own.
+"""
+
+import argparse
+import asyncio
+import io
+import os
+import pathlib
+import socket
+import statistics
+import subprocess
+import sys
+import time
+
+import pycurl
+from tornado import (
+    curl_httpclient,
+    http1connection,
+    httpclient,
+    httpserver,
+    httputil,
+    iostream,
+)
+
+from shallotwharf.adapters import outbound
+from shallotwharf.core import calls, counters
+from tests import callnodes
+
+HOST = '127.0.0.1'
+BODY = b'{"order": 4711, "state": "cutting", "station": 3, "due": "05:40"}'
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+    b'Content-Length: %d\r\n\r\n' % len(BODY)
+) + BODY
+REQUEST = (
+    b'GET /status/4711 HTTP/1.1\r\nHost: orders\r\n'
+    b'Accept: application/json\r\nUser-Agent: measure\r\n\r\n'
+)
+VARIANTS = (
+    'direct',
+    'byte_relay',
+    'tornado_curl',
+    'pycurl_multi',
+    'http1connection',
+    'tornado_wire',
+    'one_node',
+    'two_nodes',
+)
+
+
+class Upstream(asyncio.Protocol):
+    """Answers each request that arrives in one segment."""
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.transport.write(ANSWER)
+
+
+class Relay(asyncio.Protocol):
+    """Copies bytes to the upstream and back."""
+
+    def __init__(self, port):
+        self.port = port
+        self.other = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        loop = asyncio.get_running_loop()
+        self.opening = loop.create_task(
+            loop.create_connection(lambda: Back(transport), HOST, self.port)
+        )
+
+    def data_received(self, data):
+        if self.other is None:
+            self.opening.add_done_callback(lambda _: self.data_received(data))
+            if self.opening.done():
+                self.other = self.opening.result()[0]
+            return
+        self.other.write(data)
+
+
+class Back(asyncio.Protocol):
+    def __init__(self, front):
+        self.front = front
+
+    def data_received(self, data):
+        self.front.write(data)
+
+
+class Forwarder(httputil.HTTPServerConnectionDelegate):
+    """Tornado's server with one of the outbound clients."""
+
+    def __init__(self, send):
+        self.send = send
+
+    def start_request(self, server_conn, request_conn):
+        return Forwarded(request_conn, self.send)
+
+    def on_close(self, server_conn):
+        pass
+
+
+class Forwarded(httputil.HTTPMessageDelegate):
+    def __init__(self, connection, send):
+        self.connection = connection
+        self.send = send
+
+    def headers_received(self, start_line, headers):
+        self.start_line = start_line
+        self.headers = headers
+
+    def finish(self):
+        self.send(self.start_line, self.headers, self.answer)
+
+    def answer(self, status, headers, body):
+        headers['Content-Length'] = str(len(body))
+        self.connection.write_headers(
+            httputil.ResponseStartLine('', status, 'OK'), headers, body
+        )
+        self.connection.finish()
+
+
+def make_tornado_curl(port):
+    client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+
+    def send(start_line, headers, answer):
+        request = httpclient.HTTPRequest(
+            f'http://{HOST}:{port}{start_line.path}',
+            method=start_line.method,
+            headers=headers,
+        )
+
+        def done(future):
+            got = future.result()
+            answer(got.code, got.headers, got.body)
+
+        client.fetch(request).add_done_callback(done)
+
+    return send
+
+
+class CurlMulti:
+    """Pycurl's multi interface on the event loop, with handles reused."""
+
+    def __init__(self, port):
+        self.port = port
+        self.loop = asyncio.get_running_loop()
+        self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.on_socket)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self.on_timer)
+        self.free = []
+        self.timer = None
+
+    def on_socket(self, event, fd, multi, data):
+        self.loop.remove_reader(fd)
+        self.loop.remove_writer(fd)
+        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            self.loop.add_reader(fd, self.act, fd, pycurl.CSELECT_IN)
+        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            self.loop.add_writer(fd, self.act, fd, pycurl.CSELECT_OUT)
+
+    def on_timer(self, timeout_ms):
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if timeout_ms == 0:
+            self.timer = self.loop.call_soon(self.act, pycurl.SOCKET_TIMEOUT, 0)
+        elif timeout_ms > 0:
+            self.timer = self.loop.call_later(
+                timeout_ms / 1000, self.act, pycurl.SOCKET_TIMEOUT, 0
+            )
+
+    def act(self, fd, events):
+        self.multi.socket_action(fd, events)
+        self.collect()
+
+    def collect(self):
+        while True:
+            left, done, failed = self.multi.info_read()
+            assert not failed, failed
+            for handle in done:
+                self.multi.remove_handle(handle)
+                self.free.append(handle)
+                headers = httputil.HTTPHeaders()
+                for line in handle.lines[1:]:
+                    headers.parse_line(line.decode('latin1'))
+                status = handle.getinfo(pycurl.RESPONSE_CODE)
+                handle.answer(status, headers, handle.buffer.getvalue())
+            if not left:
+                return
+
+    def send(self, start_line, headers, answer):
+        handle = self.free.pop() if self.free else self.make_handle()
+        handle.buffer = io.BytesIO()
+        handle.lines = []
+        handle.answer = answer
+        handle.setopt(pycurl.URL, f'http://{HOST}:{self.port}{start_line.path}')
+        handle.setopt(
+            pycurl.HTTPHEADER,
+            [f'{name}: {field}' for name, field in headers.get_all()],
+        )
+        handle.setopt(pycurl.WRITEFUNCTION, handle.buffer.write)
+        handle.setopt(pycurl.HEADERFUNCTION, handle.lines.append)
+        self.multi.add_handle(handle)
+        # A fast answer may complete within this call.
+        self.act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def make_handle(self):
+        handle = pycurl.Curl()
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        return handle
+
+
+class Http1Client(httputil.HTTPMessageDelegate):
+    """Tornado's HTTP1Connection as a client on one persistent stream."""
+
+    def __init__(self, port):
+        self.port = port
+        self.free = []
+
+    def send(self, start_line, headers, answer):
+        if self.free:
+            self.free.pop().send(start_line, headers, answer)
+        else:
+            opened = Http1Stream(self)
+            opened.task = asyncio.ensure_future(
+                opened.run(start_line, headers, answer)
+            )
+
+
+class Http1Stream(httputil.HTTPMessageDelegate):
+    def __init__(self, client):
+        self.client = client
+        self.stream = iostream.IOStream(socket.socket())
+        self.http = self.make()
+
+    def make(self):
+        return http1connection.HTTP1Connection(self.stream, True)
+
+    def send(self, start_line, headers, answer):
+        self.answer = answer
+        self.http.write_headers(start_line, headers)
+        self.http.finish()
+
+    async def run(self, *first):
+        await self.stream.connect((HOST, self.client.port))
+        self.send(*first)
+        while await self.http.read_response(self):
+            self.http = self.make()
+            self.client.free.append(self)
+
+    def headers_received(self, start_line, headers):
+        self.status = start_line.code
+        self.headers = headers
+        self.body = b''
+
+    def data_received(self, chunk):
+        self.body += chunk
+
+    def finish(self):
+        self.answer(self.status, self.headers, self.body)
+
+
+def make_own(port):
+    sender = outbound.Outbound(counters.Counters())
+
+    def send(start_line, headers, answer):
+        def done(ended, got):
+            assert ended.outcome == calls.OUTCOME_ANSWERED, ended
+            answer(got.status, got.headers, got.body)
+
+        sender.send(
+            HOST,
+            port,
+            outbound.Outgoing(start_line, headers, b'', lambda: True, done),
+        )
+
+    return send
+
+
+async def async_serve(name, ports, inner):
+    """Run the server of a variant; `inner` is the upstream's port."""
+    loop = asyncio.get_running_loop()
+    port = ports[0]
+    if name == 'direct':
+        await loop.create_server(Upstream, HOST, port)
+    elif name == 'byte_relay':
+        await loop.create_server(lambda: Relay(inner), HOST, port)
+    elif name == 'tornado_curl':
+        serve_forwarder(make_tornado_curl(inner), port)
+    elif name == 'pycurl_multi':
+        serve_forwarder(CurlMulti(inner).send, port)
+    elif name == 'http1connection':
+        serve_forwarder(Http1Client(inner).send, port)
+    elif name == 'tornado_wire':
+        serve_forwarder(make_own(inner), port)
+    else:
+        await async_serve_node(name, ports, inner)
+    await asyncio.Event().wait()
+
+
+def serve_forwarder(send, port):
+    httpserver.HTTPServer(Forwarder(send)).listen(port, HOST)
+
+
+async def async_serve_node(name, ports, inner):
+    """Run a node: `gate` stands beside the upstream, `two_nodes` is far."""
+    mesh = callnodes.Mesh()
+    node = callnodes.Node('far' if name == 'two_nodes' else 'gate', mesh)
+    await node.server.async_listen(HOST, ports[0])
+    if name == 'one_node':
+        node.announce(inner, slots=50)
+        return
+    beside = mesh_announcement(ports[1])
+    mesh.known['gate'] = beside
+    node.take_announcements()
+
+
+def mesh_announcement(port):
+    """Return the announcement of the upstream behind the gate's node."""
+    module = callnodes.membership
+    member = module.Member('gate', 'dc1', 'r1', HOST, 0, port)
+    return module.Announcement(
+        member, 'orders', 'v1', module.UPSTREAM_READY, 50, 50, 1
+    )
+
+
+def connect(port):
+    end = time.monotonic() + 10
+    while True:
+        try:
+            opened = socket.create_connection((HOST, port))
+        except OSError:
+            if time.monotonic() > end:
+                raise
+            time.sleep(0.05)
+            continue
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        opened.settimeout(2)
+        return opened
+
+
+def call(opened):
+    """Return the time of one call in microseconds."""
+    started = time.perf_counter()
+    opened.sendall(REQUEST)
+    got = b''
+    while not got.endswith(BODY):
+        got += opened.recv(65536)
+    taken = time.perf_counter() - started
+    assert got.startswith(b'HTTP/1.1 200'), got
+    return taken * 1_000_000
+
+
+def measure(ports, count, rate):
+    opened = {name: connect(ports[name]) for name in VARIANTS}
+    times = {name: [] for name in VARIANTS}
+    pause = 1 / rate
+    for turn in range(count + 200):
+        for name in VARIANTS:
+            try:
+                taken = call(opened[name])
+            except OSError as error:
+                raise RuntimeError(f'{name} {turn}: {error!r}') from error
+            if turn >= 200:
+                times[name].append(taken)
+            time.sleep(pause)
+    return times
+
+
+def report(times):
+    base = statistics.median(times['direct'])
+    base_99 = statistics.quantiles(times['direct'], n=100)[98]
+    print(f'load average {os.getloadavg()[0]:.1f} on {os.cpu_count()} CPUs')
+    print(
+        'variant            median us  99% us  added: median  99%  99%-median'
+    )
+    for name, taken in times.items():
+        middle = statistics.median(taken)
+        high = statistics.quantiles(taken, n=100)[98]
+        print(
+            f'{name:18} {middle:9.0f} {high:7.0f} {middle - base:14.0f}'
+            f' {high - base_99:5.0f} {high - base:11.0f}'
+        )
+
+
+def find_ports(count):
+    held = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+def run(options):
+    numbers = find_ports(len(VARIANTS))
+    ports = dict(zip(VARIANTS, numbers, strict=True))
+    processes = []
+    for name, port in ports.items():
+        command = [
+            sys.executable,
+            '-m',
+            'measurements.latency',
+            '--serve',
+            name,
+            '--ports',
+            f'{port},{ports["one_node"]}',
+            '--inner',
+            str(ports['direct']),
+        ]
+        processes.append(
+            subprocess.Popen(command, cwd=pathlib.Path(__file__).parents[1])
+        )
+    try:
+        report(measure(ports, options.calls, options.rate))
+    finally:
+        for process in processes:
+            process.terminate()
+            process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--calls', type=int, default=2000)
+    parser.add_argument('--rate', type=float, default=200)
+    parser.add_argument('--serve', default='')
+    parser.add_argument('--ports', default='')
+    parser.add_argument('--inner', type=int, default=0)
+    options = parser.parse_args()
+    if options.serve:
+        ports = [int(port) for port in options.ports.split(',')]
+        asyncio.run(async_serve(options.serve, ports, options.inner))
+    else:
+        run(options)
+
+
+if __name__ == '__main__':
+    main()
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -1,5 +1,6 @@
 """One request of a caller and its answer: carries out the steps of a plan."""
 
+import abc
 import asyncio
 import json
 import types
@@ -50,12 +51,22 @@
         self.active = 0
 
 
+class Responder(abc.ABC):
+    """Where an exchange writes its answer."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def respond(self, answer: outbound.Answer) -> None:
+        """Write the answer; ignore it if the caller went away."""
+
+
 class Exchange:
     """A request from its last byte to the end of its answer."""
 
     __slots__ = (
         '_services',
-        '_connection',
+        '_responder',
         '_start_line',
         '_headers',
         '_request',
@@ -72,13 +83,13 @@
     def __init__(
         self,
         services: Services,
-        connection: httputil.HTTPConnection,
+        responder: Responder,
         start_line: httputil.RequestStartLine,
         request_headers: httputil.HTTPHeaders,
         body: bytes,
     ) -> None:
         self._services = services
-        self._connection = connection
+        self._responder = responder
         self._start_line = start_line
         self._headers = request_headers
         self._request = headers.read_request(start_line, request_headers, body)
@@ -256,13 +267,7 @@
         self._close()
         if self._is_forwarded():
             answer.headers[headers.ATTEMPT] = self._request.attempt
-        empty = headers.is_empty(answer.status, self._start_line.method)
-        self._connection.write_headers(
-            httputil.ResponseStartLine('', answer.status, answer.phrase),
-            answer.headers,
-            None if empty else answer.body,
-        )
-        self._connection.finish()
+        self._responder.respond(answer)
 
     def _is_forwarded(self) -> bool:
         return bool(self._request.forwarded)
@@ -305,7 +310,7 @@
     if forwarded:
         refusal[headers.OUTCOME] = headers.write_outcome(step)
     return outbound.Answer(
-        step.status,
+        int(step.status),
         find_phrase(step.status),
         refusal,
         body.encode(),
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -20,20 +20,23 @@
 TRANSFER_ENCODING: typing.Final = 'Transfer-Encoding'
 JSON_TYPE: typing.Final = 'application/json'
 
-_HOP_BY_HOP: typing.Final = (
-    CONNECTION,
-    'Keep-Alive',
-    'Proxy-Authenticate',
-    'Proxy-Authorization',
-    'Proxy-Connection',
-    'Te',
-    'Trailer',
-    TRANSFER_ENCODING,
-    'Upgrade',
-    'Expect',
+_EXPECT: typing.Final = 'Expect'
+_HOP_BY_HOP: typing.Final = frozenset(
+    (
+        CONNECTION,
+        'Keep-Alive',
+        'Proxy-Authenticate',
+        'Proxy-Authorization',
+        'Proxy-Connection',
+        'Te',
+        'Trailer',
+        TRANSFER_ENCODING,
+        'Upgrade',
+        _EXPECT,
+    )
 )
-_OWN: typing.Final = (ATTEMPT, FORWARDED, OUTCOME)
-_CLOSE: typing.Final = 'close'
+_OWN: typing.Final = frozenset((ATTEMPT, FORWARDED, OUTCOME))
+CLOSE: typing.Final = 'close'
 _YES: typing.Final = '1'
 _REPORTED: typing.Final = frozenset(
     (
@@ -53,34 +56,45 @@
     if named is not None:
         for name in named.split(','):
             headers.pop(name.strip(), None)
-    for hop_name in _HOP_BY_HOP:
-        headers.pop(hop_name, None)
+    _remove(headers, _HOP_BY_HOP)
 
 
 def strip_own_headers(headers: httputil.HTTPHeaders) -> None:
     """Remove what only nodes may say to each other."""
-    for name in _OWN:
-        headers.pop(name, None)
+    _remove(headers, _OWN)
+
+
+def _remove(
+    headers: httputil.HTTPHeaders,
+    removed: frozenset[str],
+) -> None:
+    present = [name for name in headers if name in removed]
+    for name in present:
+        headers.pop(name)
 
 
 def asks_to_close(headers: httputil.HTTPHeaders) -> bool:
     """Tell whether the connection ends with this message."""
-    named = headers.get(CONNECTION)
-    return named is not None and _CLOSE in named.lower()
+    return CONNECTION in headers and CLOSE in headers[CONNECTION].lower()
 
 
-def is_framed(status: int, method: str, headers: httputil.HTTPHeaders) -> bool:
-    """Tell whether the end of an answer can be known (RFC 9112, 6.3)."""
-    return (
-        CONTENT_LENGTH in headers
-        or TRANSFER_ENCODING in headers
-        or is_empty(status, method)
-    )
+def asks_to_continue(headers: httputil.HTTPHeaders) -> bool:
+    """Tell whether the caller waits before it sends the body."""
+    return _EXPECT in headers and headers[_EXPECT].lower() == '100-continue'
+
+
+def is_informational(status: int) -> bool:
+    """Tell whether another answer follows (RFC 9110, 15.2)."""
+    return status < 200  # noqa: WPS432
 
 
 def is_empty(status: int, method: str) -> bool:
     """Tell whether an answer has no body whatever its headers say."""
-    return method == 'HEAD' or status in {204, 304}  # noqa: WPS432
+    return (
+        method == 'HEAD'
+        or status in {204, 304}  # noqa: WPS432
+        or is_informational(status)
+    )
 
 
 def read_request(
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -1,28 +1,55 @@
-"""HTTP/1.1 server for calls, below tornado's handlers."""
+"""HTTP/1.1 server for calls of callers and of other nodes."""
 
 import asyncio
+import http
 import socket
 import typing
 
-from tornado import http1connection, httputil, iostream, tcpserver
+from tornado import httputil
 
-from shallotwharf.adapters import exchange, outbound
+from shallotwharf.adapters import exchange, headers, outbound, wire
 from shallotwharf.core import calls, errors
 
-DEFAULT_MAX_BODY_BYTES: typing.Final = 4 * 1024 * 1024
-MAX_HEADER_BYTES: typing.Final = 32_768
+DEFAULT_MAX_BODY_BYTES: typing.Final = 4_194_304
+# A request must be whole within this time after its first byte.
+REQUEST_TIMEOUT_SECONDS: typing.Final = 10.0
+# Bytes of pipelined requests that wait before reading is paused.
+_PIPELINE_LIMIT_BYTES: typing.Final = 65_536
 _BACKLOG: typing.Final = 1024
 _CLOSE_POLL_SECONDS: typing.Final = 0.02
-_STATUS_TOO_LARGE: typing.Final = 413
-# The own limit names its reason, so tornado's must not act first.
-_NO_LIMIT_BYTES: typing.Final = 1 << 40  # noqa: WPS432
+_CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_BAD_REQUEST: typing.Final = calls.Respond(
+    http.HTTPStatus.BAD_REQUEST,
+    'malformed_request',
+    not_run=True,
+)
+_TOO_LARGE: typing.Final = calls.Respond(
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    'body_too_large',
+    not_run=True,
+)
+_HEAD_TOO_LARGE: typing.Final = calls.Respond(
+    http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    'head_too_large',
+    not_run=True,
+)
+_TIMED_OUT: typing.Final = calls.Respond(
+    http.HTTPStatus.REQUEST_TIMEOUT,
+    'request_incomplete',
+    not_run=True,
+)
 
 
-class CallServer(
-    tcpserver.TCPServer,
-    httputil.HTTPServerConnectionDelegate,
-):
-    """Accepts calls of callers and of other nodes on one port."""
+class CallServer:
+    """Accepts connections and starts an exchange for each request."""
+
+    __slots__ = (
+        'services',
+        'max_body_bytes',
+        'closing',
+        '_connections',
+        '_server',
+    )
 
     def __init__(
         self,
@@ -35,162 +62,216 @@
             services: shared by all exchanges.
             max_body_bytes: a longer request is answered with 413.
         """
-        super().__init__(read_chunk_size=outbound.READ_CHUNK_BYTES)
-        self._services = services
-        self._max_body_bytes = max_body_bytes
-        self._params = http1connection.HTTP1ConnectionParameters(
-            chunk_size=outbound.READ_CHUNK_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=_NO_LIMIT_BYTES,
-        )
-        self._serving: set[object] = set()
+        self.services = services
+        self.max_body_bytes = max_body_bytes
+        self.closing = False
+        self._connections: set[CallConnection] = set()
+        self._server: asyncio.Server | None = None
 
-    def listen_at(self, host: str, port: int) -> int:
+    async def async_listen(self, host: str, port: int) -> int:
         """Listen on an IP number; return the port.
 
         Raises:
             LinkError: if the address cannot be bound.
         """
-        family = socket.AF_INET6 if ':' in host else socket.AF_INET
-        opened = socket.socket(family, socket.SOCK_STREAM)
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        opened.setblocking(False)
         try:
-            opened.bind((host, port))
+            self._server = await asyncio.get_running_loop().create_server(
+                lambda: CallConnection(self),
+                host,
+                port,
+                backlog=_BACKLOG,
+            )
         except OSError as error:
-            opened.close()
             raise errors.LinkError(
                 f'cannot listen: {error.strerror}',
                 'inbound.listen',
                 f'{host}:{port}',
             ) from error
-        opened.listen(_BACKLOG)
-        self.add_socket(opened)
-        return int(opened.getsockname()[1])
+        return int(self._server.sockets[0].getsockname()[1])
 
     async def async_close(self, limit_seconds: float) -> bool:
         """Accept no more connections and let running exchanges finish.
 
         Returns whether all of them finished within the limit.
         """
-        self.stop()
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
         loop = asyncio.get_running_loop()
         end = loop.time() + limit_seconds
-        while self._services.active and loop.time() < end:
+        while self.services.active and loop.time() < end:
             await asyncio.sleep(_CLOSE_POLL_SECONDS)
-        finished = not self._services.active
-        for serving in list(self._serving):
-            await typing.cast(
-                http1connection.HTTP1ServerConnection,
-                serving,
-            ).close()
+        finished = not self.services.active
+        for connection in list(self._connections):
+            connection.close()
         return finished
 
-    def handle_stream(
-        self,
-        stream: iostream.IOStream,
-        address: typing.Any,
-    ) -> None:
-        """Serve a connection."""
-        # Finds callers that vanished without closing their connection.
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        serving = http1connection.HTTP1ServerConnection(
-            stream,
-            self._params,
-            address,
-        )
-        self._serving.add(serving)
-        serving.start_serving(self)
-
-    def start_request(
-        self,
-        server_conn: object,
-        request_conn: httputil.HTTPConnection,
-    ) -> httputil.HTTPMessageDelegate:
-        """Return what receives the next request of a connection."""
-        return _Receiver(self._services, request_conn, self._max_body_bytes)
+    def add(self, connection: 'CallConnection') -> None:
+        """Keep a connection that was made."""
+        self._connections.add(connection)
 
-    def on_close(self, server_conn: object) -> None:
+    def remove(self, connection: 'CallConnection') -> None:
         """Forget a connection that ended."""
-        self._serving.discard(server_conn)
+        self._connections.discard(connection)
 
 
-class _Receiver(httputil.HTTPMessageDelegate):
-    """Collects a request, then starts its exchange."""
+class CallConnection(asyncio.Protocol, wire.Receiver, exchange.Responder):
+    """One connection: one request at a time, others wait their turn."""
 
     __slots__ = (
-        '_services',
-        '_connection',
-        '_limit',
+        '_server',
+        '_reader',
+        '_transport',
         '_start_line',
         '_headers',
-        '_parts',
-        '_size',
         '_exchange',
+        '_last',
+        '_timer',
     )
 
-    def __init__(
-        self,
-        services: exchange.Services,
-        connection: httputil.HTTPConnection,
-        limit: int,
-    ) -> None:
-        self._services = services
-        self._connection = connection
-        self._limit = limit
+    def __init__(self, server: CallServer) -> None:
+        self._server = server
+        self._reader = wire.Reader(self)
+        self._transport: asyncio.Transport | None = None
         self._start_line = httputil.RequestStartLine('', '', '')
         self._headers = httputil.HTTPHeaders()
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._exchange: exchange.Exchange | None = None
+        self._last = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        opened = transport.get_extra_info('socket')
+        # Finds callers that vanished without closing their connection.
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self._server.add(self)
 
-    def headers_received(
+    def data_received(self, received: bytes) -> None:
+        """Take bytes of requests."""
+        self._read(received)
+        if self._exchange is None:
+            self._watch_request()
+        elif self._reader.count_waiting() > _PIPELINE_LIMIT_BYTES:
+            self._find_transport().pause_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the exchange, since nobody waits for its answer."""
+        self._server.remove(self)
+        self._reader.stop()
+        self._stop_timer()
+        running = self._exchange
+        self._exchange = None
+        if running is not None:
+            running.cancel()
+
+    def receive_head(
         self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Keep the head; refuse a body that is too long at once."""
-        self._start_line = typing.cast(httputil.RequestStartLine, start_line)
-        self._headers = headers
-        length = headers.get('Content-Length', '')
-        if length.isdecimal() and int(length) > self._limit:
-            self._refuse_size()
-
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a part of the body."""
-        self._parts.append(chunk)
-        self._size += len(chunk)
-        if self._size > self._limit:
-            self._refuse_size()
-
-    def finish(self) -> None:
+        start_line: str,
+        request_headers: httputil.HTTPHeaders,
+    ) -> int | None:
+        """Take the head of a request; return the length of its body."""
+        self._start_line = httputil.parse_request_start_line(start_line)
+        self._headers = request_headers
+        self._last = self._start_line.version != 'HTTP/1.1'
+        if not self._last and 'Host' not in request_headers:
+            raise httputil.HTTPInputError('no Host header')
+        if headers.asks_to_close(request_headers):
+            self._last = True
+        length = wire.find_body_length(request_headers)
+        if length is not None and length > self._server.max_body_bytes:
+            self._refuse(_TOO_LARGE)
+            return 0
+        if length != -1 and headers.asks_to_continue(request_headers):
+            self._find_transport().write(_CONTINUE)
+        return 0 if length == -1 else length
+
+    def receive_size(self, size: int) -> bool:
+        """Refuse a body that is too long."""
+        if size > self._server.max_body_bytes:
+            self._refuse(_TOO_LARGE)
+            return False
+        return True
+
+    def receive_end(self, body: bytes) -> None:
         """Start the exchange of a whole request."""
-        parts = self._parts
+        self._stop_timer()
         started = exchange.Exchange(
-            self._services,
-            self._connection,
+            self._server.services,
+            self,
             self._start_line,
             self._headers,
-            parts[0] if len(parts) == 1 else b''.join(parts),
+            body,
         )
-        typing.cast(
-            http1connection.HTTP1Connection,
-            self._connection,
-        ).set_close_callback(started.cancel)
+        self._exchange = started
         started.start()
 
-    def on_connection_close(self) -> None:
-        """Drop a request that did not arrive whole."""
-        self._services.counters.add('inbound.request_incomplete')
-
-    def _refuse_size(self) -> None:
-        self._services.counters.add('inbound.too_large')
-        refusal = exchange.build_refusal(
-            calls.Respond(_STATUS_TOO_LARGE, 'body_too_large', not_run=True),
-            forwarded=False,
+    def respond(self, answer: outbound.Answer) -> None:
+        """Write the answer of the exchange; then read the next request."""
+        transport = self._find_transport()
+        if transport.is_closing():
+            return
+        last = self._last or self._server.closing
+        if last:
+            answer.headers[headers.CONNECTION] = headers.CLOSE
+        empty = headers.is_empty(answer.status, self._start_line.method)
+        outbound.write_message(
+            transport,
+            wire.build_head(
+                f'HTTP/1.1 {answer.status} {answer.phrase}',
+                answer.headers,
+            ),
+            b'' if empty else answer.body,
         )
-        self._connection.write_headers(
-            httputil.ResponseStartLine('', refusal.status, refusal.phrase),
-            refusal.headers,
-            refusal.body,
-        )
-        self._connection.finish()
+        self._exchange = None
+        if last:
+            self.close()
+        elif self._reader.count_waiting():
+            # Not from here: the answer may be written within `feed`.
+            self._server.services.loop.call_soon(self._read_next)
+        else:
+            self._reader.resume()
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
+        self._reader.stop()
+        self._find_transport().close()
+
+    def _read_next(self) -> None:
+        transport = self._find_transport()
+        if transport.is_closing():
+            return
+        transport.resume_reading()
+        self._read(b'', resumed=True)
+
+    def _read(self, received: bytes, *, resumed: bool = False) -> None:
+        try:
+            if resumed:
+                self._reader.resume()
+            else:
+                self._reader.feed(received)
+        except wire.HeadTooLargeError:
+            self._refuse(_HEAD_TOO_LARGE)
+        except httputil.HTTPInputError:
+            self._refuse(_BAD_REQUEST)
+
+    def _refuse(self, step: calls.Respond) -> None:
+        self._server.services.counters.add(f'inbound.{step.reason}')
+        self._last = True
+        self.respond(exchange.build_refusal(step, forwarded=False))
+
+    def _watch_request(self) -> None:
+        if self._timer is None and self._reader.is_within_message():
+            self._timer = self._server.services.loop.call_later(
+                REQUEST_TIMEOUT_SECONDS,
+                self._refuse,
+                _TIMED_OUT,
+            )
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _find_transport(self) -> asyncio.Transport:
+        return typing.cast(asyncio.Transport, self._transport)
--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -1,20 +1,16 @@
 """Persistent HTTP/1.1 connections to upstreams and other nodes.
 
 Each connection carries one request at a time, so that an answer belongs to
-the request that was sent last; bytes that no request waits for close it. A
-read is always pending, so that a connection that the other side closed is
-noticed while it is idle.
+the request that was sent last; bytes that no request waits for close it.
 """
 
 import asyncio
-import socket
-import time
 import typing
 from collections import abc
 
-from tornado import http1connection, httputil, iostream
+from tornado import httputil
 
-from shallotwharf.adapters import headers
+from shallotwharf.adapters import headers, wire
 from shallotwharf.core import calls, counters, logs
 
 # Connecting takes 1 ms within a region and 24 ms between regions.
@@ -24,7 +20,8 @@
 IDLE_LIMIT_SECONDS: typing.Final = 1.5
 IDLE_CONNECTION_LIMIT: typing.Final = 256
 DEFAULT_MAX_ANSWER_BYTES: typing.Final = 16_777_216
-READ_CHUNK_BYTES: typing.Final = 16_384
+# Larger bodies are written on their own, so that they are not copied.
+COPY_LIMIT_BYTES: typing.Final = 16_384
 
 REASON_CONNECT: typing.Final = 'connect_failed'
 REASON_EXPIRED: typing.Final = 'expired_before_send'
@@ -32,6 +29,7 @@
 REASON_INCOMPLETE: typing.Final = 'answer_incomplete'
 REASON_UNFRAMED: typing.Final = 'answer_without_length'
 REASON_TOO_LARGE: typing.Final = 'answer_too_large'
+REASON_MALFORMED: typing.Final = 'answer_malformed'
 
 
 class Answer:
@@ -84,143 +82,149 @@
         self.done = done
 
 
-class Connection(httputil.HTTPMessageDelegate):
+class Connection(asyncio.Protocol, wire.Receiver):
     """One connection and the request that it carries, if any."""
 
     __slots__ = (
         '_pool',
-        '_stream',
-        '_http',
+        '_reader',
+        '_transport',
         '_current',
         '_sent',
-        '_status',
-        '_phrase',
-        '_headers',
-        '_parts',
-        '_size',
+        '_answer',
         '_fault',
+        '_closed',
+        '_last',
         'idle_since',
     )
 
     def __init__(self, pool: 'ConnectionPool', first: Outgoing) -> None:
-        family = socket.AF_INET6 if ':' in pool.host else socket.AF_INET
-        opened = socket.socket(family, socket.SOCK_STREAM)
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._pool = pool
-        self._stream = _Stream(opened, read_chunk_size=READ_CHUNK_BYTES)
-        self._http = self._make_http()
+        self._reader = wire.Reader(self)
+        self._transport: asyncio.Transport | None = None
         self._current: Outgoing | None = first
         self._sent = False
-        self._status = 0
-        self._phrase = ''
-        self._headers = httputil.HTTPHeaders()
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._answer: Answer | None = None
         self._fault = ''
+        self._closed = False
+        self._last = False
         self.idle_since: float = 0
 
-    async def async_run(self) -> None:
-        """Connect, then read answers until the connection ends."""
-        try:
-            await self._async_read_all()
-        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
-            self._stream.close()
-        finally:
-            self._leave()
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the first request."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._pool.counters.add('outbound.connections')
+        if self._current is None:
+            self.close()
+        else:
+            self.send(self._current)
 
     def send(self, outgoing: Outgoing) -> None:
         """Send a request on an idle connection."""
         self._current = outgoing
         self._sent = False
+        self._answer = None
         if not outgoing.prepare():
-            self._fault = REASON_EXPIRED
-            self._stream.close()
+            self.fail(REASON_EXPIRED)
             return
         self._sent = True
-        self._status = 0
-        self._parts = []
-        self._size = 0
-        self._http.write_headers(
-            outgoing.start_line,
-            outgoing.headers,
+        line = outgoing.start_line
+        write_message(
+            typing.cast(asyncio.Transport, self._transport),
+            wire.build_head(
+                f'{line.method} {line.path} HTTP/1.1',
+                outgoing.headers,
+            ),
             outgoing.body,
         )
-        self._http.finish()
 
     def cancel(self, outgoing: Outgoing) -> None:
         """Close the connection if it still carries a request."""
         if self._current is outgoing:
             self._current = None
-            self._stream.close()
+            self.close()
 
     def is_closed(self) -> bool:
         """Tell whether the connection ended."""
-        return self._stream.closed()
+        return self._closed
 
     def close(self) -> None:
         """End the connection."""
-        self._stream.close()
+        self._closed = True
+        self._reader.stop()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def fail(self, fault: str) -> None:
+        """End the connection and the request that it carries."""
+        self._fault = self._fault or fault
+        self.close()
+        self._end(self._build_failure(), None)
 
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        answer_headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Take the start of an answer."""
-        answer_line = typing.cast(httputil.ResponseStartLine, start_line)
+    def data_received(self, received: bytes) -> None:
+        """Take bytes of an answer."""
         if self._current is None:
+            # Bytes that nobody waits for belong to no request.
             self._pool.counters.add('outbound.unsolicited')
-            self._stream.close()
-            return
-        if answer_line.code < 200:  # noqa: WPS432
-            return
-        self._status = answer_line.code
-        self._phrase = answer_line.reason
-        self._headers = answer_headers
-        method = self._current.start_line.method
-        if not headers.is_framed(answer_line.code, method, answer_headers):
-            self._fault = REASON_UNFRAMED
-            self._stream.close()
-
-    def data_received(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-        self._parts.append(chunk)
-        self._size += len(chunk)
-        if self._size > self._pool.max_answer_bytes:
-            self._fault = REASON_TOO_LARGE
-            self._stream.close()
-
-    def finish(self) -> None:
-        """Hand over the answer, which is whole."""
-        if self._fault:
+            self.close()
             return
-        parts = self._parts
-        body = parts[0] if len(parts) == 1 else b''.join(parts)
-        self._end(
-            calls.Result(calls.OUTCOME_ANSWERED, '', self._status),
-            Answer(self._status, self._phrase, self._headers, body),
-        )
+        try:
+            self._reader.feed(received)
+        except httputil.HTTPInputError:
+            self.fail(REASON_MALFORMED)
 
-    def on_connection_close(self) -> None:
-        """Leave the report to `async_run`, which sees each end."""
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report a request whose answer is not whole."""
+        self._closed = True
+        self._pool.remove(self)
+        self._end(self._build_failure(), None)
 
-    async def _async_read_all(self) -> None:
-        await self._pool.async_connect(self._stream)
-        if self._current is None:
+    def receive_head(
+        self,
+        start_line: str,
+        answer_headers: httputil.HTTPHeaders,
+    ) -> int | None:
+        """Take the start of an answer; return the length of its body."""
+        line = httputil.parse_response_start_line(start_line)
+        self._answer = Answer(line.code, line.reason, answer_headers, b'')
+        outgoing = typing.cast(Outgoing, self._current)
+        self._last = line.version != 'HTTP/1.1' or headers.asks_to_close(
+            answer_headers,
+        )
+        length = wire.find_body_length(answer_headers)
+        if headers.is_empty(line.code, outgoing.start_line.method):
+            return 0
+        if length == -1:
+            self.fail(REASON_UNFRAMED)
+            return 0
+        if length is not None and length > self._pool.max_answer_bytes:
+            self.fail(REASON_TOO_LARGE)
+            return 0
+        return length
+
+    def receive_size(self, size: int) -> bool:
+        """Take note of the length of the body so far."""
+        if size > self._pool.max_answer_bytes:
+            self.fail(REASON_TOO_LARGE)
+        return not self._closed
+
+    def receive_end(self, body: bytes) -> None:
+        """Hand over the answer, which is whole, and wait for the next."""
+        answer = typing.cast(Answer, self._answer)
+        if headers.is_informational(answer.status):
+            self._answer = None
+            self._reader.resume()
             return
-        self.send(self._current)
-        while await self._http.read_response(self):
-            if headers.asks_to_close(self._headers):
-                return
-            self._http = self._make_http()
-            self._pool.add_idle(self)
-
-    def _make_http(self) -> http1connection.HTTP1Connection:
-        return http1connection.HTTP1Connection(
-            self._stream,
-            is_client=True,
-            params=self._pool.params,
+        answer.body = body
+        self._end(
+            calls.Result(calls.OUTCOME_ANSWERED, '', answer.status),
+            answer,
         )
+        if self._last or self._reader.count_waiting():
+            self.close()
+        elif not self._closed:
+            self._reader.resume()
+            self._pool.add_idle(self)
 
     def _build_failure(self) -> calls.Result:
         if not self._sent:
@@ -228,14 +232,11 @@
                 calls.OUTCOME_UNREACHED,
                 self._fault or REASON_CONNECT,
             )
-        reason = REASON_INCOMPLETE if self._status else REASON_NO_ANSWER
+        reason = REASON_NO_ANSWER
+        if self._answer is not None:
+            reason = REASON_INCOMPLETE
         return calls.Result(calls.OUTCOME_CLOSED, self._fault or reason)
 
-    def _leave(self) -> None:
-        self._stream.close()
-        self._pool.remove(self)
-        self._end(self._build_failure(), None)
-
     def _end(self, ended: calls.Result, answer: Answer | None) -> None:
         outgoing = self._current
         if outgoing is None:
@@ -253,11 +254,11 @@
     """Connections to one address; the one used last is used next."""
 
     __slots__ = (
-        'host',
-        'params',
         'max_answer_bytes',
         'counters',
+        '_host',
         '_port',
+        '_loop',
         '_idle',
         '_tasks',
     )
@@ -269,26 +270,20 @@
         max_answer_bytes: int,
         process_counters: counters.Counters,
     ) -> None:
-        self.host = host
         self.max_answer_bytes = max_answer_bytes
         self.counters = process_counters
-        self.params = http1connection.HTTP1ConnectionParameters(
-            chunk_size=READ_CHUNK_BYTES,
-            # The own limit names its reason, so this one must not act first.
-            max_body_size=max_answer_bytes * 2,
-        )
+        self._host = host
         self._port = port
+        self._loop = asyncio.get_running_loop()
         self._idle: list[Connection] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def send(self, outgoing: Outgoing) -> Connection:
         """Send on an idle connection or on a new one."""
-        limit = time.monotonic() - IDLE_LIMIT_SECONDS
+        limit = self._loop.time() - IDLE_LIMIT_SECONDS
         while self._idle:
             idle = self._idle.pop()
-            if idle.is_closed():
-                continue
-            if idle.idle_since >= limit:
+            if idle.idle_since >= limit and not idle.is_closed():
                 idle.send(outgoing)
                 return idle
             idle.close()
@@ -296,7 +291,7 @@
 
     def add_idle(self, connection: Connection) -> None:
         """Keep a connection for the next request."""
-        connection.idle_since = time.monotonic()
+        connection.idle_since = self._loop.time()
         if len(self._idle) >= IDLE_CONNECTION_LIMIT:
             connection.close()
             return
@@ -309,32 +304,28 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        for connection in list(self._idle):
+        for connection in self._idle:
             connection.close()
-
-    async def async_connect(self, stream: iostream.IOStream) -> None:
-        """Connect a stream.
-
-        Raises:
-            StreamClosedError: if it cannot be connected in time.
-        """
-        timer = asyncio.get_running_loop().call_later(
-            CONNECT_TIMEOUT_SECONDS,
-            stream.close,
-        )
-        try:
-            await stream.connect((self.host, self._port))
-        finally:
-            timer.cancel()
-        self.counters.add('outbound.connections')
+        self._idle.clear()
 
     def _open(self, outgoing: Outgoing) -> Connection:
         connection = Connection(self, outgoing)
-        task = asyncio.get_running_loop().create_task(connection.async_run())
+        task = self._loop.create_task(self._async_connect(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return connection
 
+    async def _async_connect(self, connection: Connection) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                await self._loop.create_connection(
+                    lambda: connection,
+                    self._host,
+                    self._port,
+                )
+        except (OSError, TimeoutError):
+            connection.fail(REASON_CONNECT)
+
 
 class Outbound:
     """Connection pools by address."""
@@ -369,8 +360,14 @@
             pool.close()
 
 
-class _Stream(iostream.IOStream):
-    """A stream whose no-delay flag was set once for good."""
-
-    def set_nodelay(self, value: bool) -> None:  # noqa: WPS110
-        """Keep the flag as it is, which saves two system calls a message."""
+def write_message(
+    transport: asyncio.Transport,
+    head: bytes,
+    body: bytes,
+) -> None:
+    """Write a message, in one piece unless its body is large."""
+    if len(body) <= COPY_LIMIT_BYTES:
+        transport.write(head + body)
+        return
+    transport.write(head)
+    transport.write(body)
--- a/tests/callnodes.py
+++ b/tests/callnodes.py
@@ -128,7 +128,6 @@
             self.counters,
         )
         self.server = inbound.CallServer(self.services, max_body_bytes=100_000)
-        self.server.listen_at(HOST, self.port)
         rules = upstreams.build_rules(
             callpath.DispatchedRegistry(self.dispatcher)
         )
@@ -138,6 +137,10 @@
         mesh.nodes.append(self)
         self.apply(version.Version(1, TABLES))
 
+    async def async_listen(self):
+        await self.server.async_listen(HOST, self.port)
+        return self
+
     def apply(self, applied):
         self.dispatcher.deliver(tables.VersionApplied(applied), 'test')
 
