Prove the path of a call: gate, retries, framing and real connections

A request that may have run twice is not sent a third time, so that one request cannot end three upstreams. A connection that is refused within a request is read for a while before it closes, since the 413 was lost to a reset in one of the tests.

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -13,6 +13,9 @@
 DEFAULT_MAX_BODY_BYTES: typing.Final = 4_194_304
 # A request must be whole within this time after its first byte.
 REQUEST_TIMEOUT_SECONDS: typing.Final = 10.0
+# A connection that is refused within a request is read for this long, since
+# closing it at once could destroy the answer on its way (RFC 9112, 9.6).
+_LINGER_SECONDS: typing.Final = 1.0
 # Bytes of pipelined requests that wait before reading is paused.
 _PIPELINE_LIMIT_BYTES: typing.Final = 65_536
 _BACKLOG: typing.Final = 1024
@@ -126,6 +129,7 @@
         '_headers',
         '_exchange',
         '_last',
+        '_lingering',
         '_timer',
     )
 
@@ -137,6 +141,7 @@
         self._headers = httputil.HTTPHeaders()
         self._exchange: exchange.Exchange | None = None
         self._last = False
+        self._lingering = False
         self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -149,6 +154,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Take bytes of requests."""
+        if self._lingering:
+            return
         self._read(received)
         if self._exchange is None:
             self._watch_request()
@@ -224,7 +231,9 @@
             b'' if empty else answer.body,
         )
         self._exchange = None
-        if last:
+        if self._lingering:
+            self._linger()
+        elif last:
             self.close()
         elif self._reader.count_waiting():
             # Not from here: the answer may be written within `feed`.
@@ -257,9 +266,21 @@
 
     def _refuse(self, step: calls.Respond) -> None:
         self._server.services.counters.add(f'inbound.{step.reason}')
+        self._stop_timer()
+        self._reader.stop()
         self._last = True
+        self._lingering = True
         self.respond(exchange.build_refusal(step, forwarded=False))
 
+    def _linger(self) -> None:
+        transport = self._find_transport()
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._timer = self._server.services.loop.call_later(
+            _LINGER_SECONDS,
+            transport.abort,
+        )
+
     def _watch_request(self) -> None:
         if self._timer is None and self._reader.is_within_message():
             self._timer = self._server.services.loop.call_later(
--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -231,6 +231,8 @@
 
 
 def _parse_line(line: str) -> tuple[str, str]:
+    if '\n' in line or '\r' in line:
+        raise httputil.HTTPInputError('a line break within a header')
     parsed = httputil.HTTPHeaders()
     parsed.parse_line(line)
     return next(iter(parsed.items()))
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -25,6 +25,7 @@
 DENIED_LIMIT: typing.Final = 'route_limit'
 DENIED_BUDGET: typing.Final = 'budget'
 DENIED_DEADLINE: typing.Final = 'deadline'
+DENIED_RAN_TWICE: typing.Final = 'ran_twice'
 
 # Each hop must fail before the hop above it does, in whole milliseconds.
 HOP_CUT_MS: typing.Final = 1
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -120,6 +120,7 @@
         entry = self._read_entry()
         rule = rules.find_rule(result.outcome, entry.row.idempotent)
         self._observe(rule, result, now)
+        ran_before = self._may_have_run
         if not rule.not_run:
             self._may_have_run = True
         if not rule.status:
@@ -128,7 +129,7 @@
         reason = result.reason or result.outcome
         if not rule.retry or reason in const.FINAL_REASONS:
             return self._respond(rule.status, reason)
-        denied = self._find_denial(now)
+        denied = self._find_denial(now, not rule.not_run and ran_before)
         if denied:
             self._context.count(f'{const.COUNTER_RETRY_DENIED}{denied}')
             return self._respond(rule.status, reason)
@@ -177,11 +178,16 @@
                 now,
             )
 
-    def _find_denial(self, now: int) -> str:
-        """Return why no retry is allowed; empty if one is."""
+    def _find_denial(self, now: int, ran_twice: bool) -> str:
+        """Return why no retry is allowed; empty if one is.
+
+        A request that ended two upstreams is not shown to a third.
+        """
         entry = self._read_entry()
         if self._request.retried:
             return const.DENIED_DEEPER
+        if ran_twice:
+            return const.DENIED_RAN_TWICE
         if self._attempts > entry.row.retries:
             return const.DENIED_LIMIT
         if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
--- /dev/null
+++ b/tests/adapters/test_calls.py
@@ -0,0 +1,429 @@
+"""Guards against answers that are cut, crossed or falsely "not run".
+
+Real nodes over loopback, with upstreams that answer raw bytes.
+"""
+
+import asyncio
+import functools
+import json
+import re
+
+import pytest
+
+from shallotwharf.adapters import wire
+from shallotwharf.components.once import messages as once
+from shallotwharf.components.upstream import messages as upstream
+from shallotwharf.core import aggregate, effects
+from tests import callnodes
+
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+KEY = 'Idempotency-Key: 01890a5d-ac96-774b-bcce-b302099a8057'
+
+
+class RawUpstream:
+    """Answers each request with the bytes that `answer` returns.
+
+    No bytes close the connection; bytes that end in `CUT` are sent without
+    it, then the connection closes.
+    """
+
+    def __init__(self, answer):
+        self.answer = answer if callable(answer) else lambda _: answer
+        self.requests = []
+        self.lost = 0
+
+    async def async_start(self):
+        self.port = callnodes.find_port()
+        await asyncio.start_server(self.async_serve, callnodes.HOST, self.port)
+        return self
+
+    async def async_serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                found = re.search(rb'Content-Length: (\d+)', head)
+                body = await reader.readexactly(int(found[1]) if found else 0)
+                self.requests.append(head + body)
+                answer = self.answer(head)
+                if asyncio.iscoroutine(answer):
+                    answer = await answer
+                writer.write(answer.removesuffix(b'CUT'))
+                if not answer or answer.endswith(b'CUT'):
+                    break
+        except asyncio.IncompleteReadError:
+            self.lost += 1
+        writer.close()
+
+
+def on_loop(test):
+    """Run a test that is a coroutine function on a loop of its own."""
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        asyncio.run(asyncio.wait_for(test(*arguments, **named), 20))
+
+    return run
+
+
+async def async_build(answer, count=1, **announced):
+    """Return nodes and the upstream beside the last one."""
+    mesh = callnodes.Mesh()
+    nodes = [
+        await callnodes.Node(f'n{number}', mesh).async_listen()
+        for number in range(count)
+    ]
+    raw = await RawUpstream(answer).async_start()
+    nodes[-1].announce(raw.port, **announced)
+    await asyncio.sleep(0.01)
+    return nodes, raw
+
+
+def build_request(method, path, *lines, body=None):
+    head = [f'{method} {path} HTTP/1.1', 'Host: x', 'Connection: close']
+    if body is not None:
+        head.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join([*head, *lines, '', body or '']).encode()
+
+
+async def async_call(node, method='GET', path='/', *lines, body=None):
+    """Return status and body of one call."""
+    text = build_request(method, path, *lines, body=body)
+    answer = await callnodes.async_fetch(node.port, text)
+    head, _, rest = answer.partition(b'\r\n\r\n')
+    return int(head.split(b' ')[1]), rest
+
+
+def read_refusal(answer):
+    status, body = answer
+    told = json.loads(body)
+    return status, told['reason'], told['not_run']
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@on_loop
+async def test_call_passes_with_its_headers(count):
+    nodes, raw = await async_build(OK, count)
+    lines = ('Shallotwharf-Deadline-Ms: 500', 'X-Own: 1', 'Keep-Alive: 5')
+    assert await async_call(nodes[0], 'GET', '/a?b=c', *lines) == (200, b'ok')
+    request = raw.requests[0].decode()
+    assert request.startswith('GET /a?b=c HTTP/1.1\r\n')
+    assert 'X-Own: 1' in request and 'Keep-Alive' not in request
+    assert 'Forwarded' not in request and 'Retried' not in request
+    remaining = int(re.search(r'Deadline-Ms: (\d+)', request)[1])
+    assert 400 <= remaining < 500
+    assert nodes[0].observed.seen[0].outcome == 'ok'
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize(
+    ('answer', 'reason'),
+    [
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshortCUT', 'incomplete'),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'2\r\nab\r\nCUT',
+            'incomplete',
+        ),
+        (b'HTTP/1.1 200 OK\r\n\r\nno lengthCUT', 'without_length'),
+        (b'HTTP/1.1 200 OK\r\nContent-CUT', 'closed_without_answer'),
+        (b'', 'closed_without_answer'),
+        (b'nonsense\r\n\r\nCUT', 'malformed'),
+    ],
+)
+@on_loop
+async def test_answer_that_is_not_whole_is_a_502(answer, reason, count):
+    nodes, raw = await async_build(answer, count)
+    got = await async_call(nodes[0], 'POST', '/cut', body='x')
+    status, told, not_run = read_refusal(got)
+    assert (status, not_run) == (502, False)
+    assert reason in told
+    # Not idempotent, so it must not have run a second time.
+    assert len(raw.requests) == 1
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@on_loop
+async def test_idempotent_call_is_retried_after_a_cut_answer(count):
+    answers = iter([b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxCUT', OK])
+    nodes, raw = await async_build(lambda _: next(answers), count)
+    assert await async_call(nodes[0]) == (200, b'ok')
+    assert b'Shallotwharf-Retried: 1' in raw.requests[1]
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@on_loop
+async def test_connections_are_kept(count):
+    nodes, raw = await async_build(OK, count)
+    reader, writer = await asyncio.open_connection(
+        callnodes.HOST, nodes[0].port
+    )
+    for _ in range(20):
+        writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+        await reader.readuntil(b'ok')
+    assert nodes[-1].counters.read('outbound.connections') == 1
+    assert len(raw.requests) == 20
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize(
+    ('method', 'answer', 'status', 'expected'),
+    [
+        ('HEAD', b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n', 200, b''),
+        ('GET', b'HTTP/1.1 204 No Content\r\n\r\n', 204, b''),
+        ('GET', b'HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n', 304, b''),
+        (
+            'GET',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n',
+            200,
+            b'abc',
+        ),
+        ('GET', b'HTTP/1.1 103 Early Hints\r\n\r\n' + OK, 200, b'ok'),
+        (
+            'GET',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n'
+            + b'z' * 300000,
+            200,
+            b'z' * 300000,
+        ),
+    ],
+)
+@on_loop
+async def test_framing_of_answers(method, answer, status, expected, count):
+    nodes, _ = await async_build(answer, count)
+    for _ in range(2):
+        assert await async_call(nodes[0], method) == (status, expected)
+
+
+@on_loop
+async def test_chunked_request_arrives_whole():
+    nodes, raw = await async_build(OK, 2)
+    text = build_request('PUT', '/', 'Transfer-Encoding: chunked')
+    text += b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    answer = await callnodes.async_fetch(nodes[0].port, text)
+    assert answer.endswith(b'ok')
+    assert raw.requests[0].endswith(b'\r\n\r\nabcde')
+
+
+@on_loop
+async def test_pipelined_requests_are_answered_in_order():
+    def echo(head):
+        path = head.split(b' ')[1]
+        return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+            len(path),
+            path,
+        )
+
+    nodes, _ = await async_build(echo, 2)
+    text = b''.join(
+        b'GET /%d HTTP/1.1\r\nHost: x\r\n\r\n' % number for number in range(5)
+    )
+    answer = await callnodes.async_fetch(
+        nodes[0].port, text + build_request('GET', '/5')
+    )
+    assert re.findall(rb'\r\n\r\n(/\d)', answer) == [
+        b'/%d' % n for n in range(6)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('text', 'status'),
+    [
+        (b'nonsense\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nBad Name: y\r\n\r\n', 400),
+        (build_request('GET', '/') + b'junk\r\n\r\n', 200),
+        (build_request('PATCH', '/'), 404),
+        (build_request('PUT', '/', 'Content-Length: 100001'), 413),
+        (
+            build_request('PUT', '/', 'Transfer-Encoding: chunked')
+            + b'1ffff\r\n'
+            + b'x' * 0x1FFFF,
+            413,
+        ),
+        (
+            b'GET / HTTP/1.1\r\nHost: x\r\nA: ' + b'x' * wire.MAX_HEAD_BYTES,
+            431,
+        ),
+    ],
+)
+@on_loop
+async def test_unfit_request_gets_its_status(text, status):
+    nodes, raw = await async_build(OK)
+    answer = await callnodes.async_fetch(nodes[0].port, text)
+    assert answer.startswith(b'HTTP/1.1 %d ' % status)
+    assert len(raw.requests) == (1 if status == 200 else 0)
+
+
+@on_loop
+async def test_late_answer_never_reaches_another_call():
+    async def answer(head):
+        if b'/slow' in head:
+            await asyncio.sleep(0.1)
+            return OK.replace(b'ok', b'no')
+        return OK
+
+    nodes, raw = await async_build(answer, 2)
+    slow = await async_call(
+        nodes[0], 'GET', '/slow', 'Shallotwharf-Deadline-Ms: 40'
+    )
+    assert read_refusal(slow) == (504, 'deadline_passed', False)
+    for _ in range(20):
+        assert await async_call(nodes[0]) == (200, b'ok')
+        await asyncio.sleep(0.01)
+
+
+@on_loop
+async def test_unsolicited_answer_never_reaches_a_call():
+    nodes, raw = await async_build(OK + OK.replace(b'ok', b'no'))
+    for _ in range(5):
+        assert await async_call(nodes[0]) == (200, b'ok')
+
+
+@on_loop
+async def test_crossed_answer_of_another_node_is_dropped():
+    crossed = OK.replace(b'\r\n\r\n', b'\r\nShallotwharf-Attempt: x\r\n\r\n')
+    nodes, raw = await async_build(OK, 2)
+    fake = await RawUpstream(crossed).async_start()
+    known = nodes[1].mesh.known
+    row = known['n1']
+    known['n1'] = row.replace(
+        node=row.node.replace(call_port=fake.port),
+        generation=row.generation + 1,
+    )
+    nodes[0].take_announcements()
+    got = await async_call(nodes[0], 'POST', '/cut', body='x')
+    assert read_refusal(got) == (502, 'attempt_mismatch', False)
+    assert nodes[0].counters.read('outbound.crossed') == 1
+
+
+@on_loop
+async def test_caller_that_goes_away_frees_the_slot():
+    nodes, raw = await async_build(lambda _: asyncio.sleep(5, OK), 2, slots=1)
+    _, writer = await asyncio.open_connection(callnodes.HOST, nodes[0].port)
+    writer.write(build_request('GET', '/'))
+    await asyncio.sleep(0.05)
+    assert nodes[1].gate.count_running() == 1
+    writer.close()
+    await asyncio.sleep(0.05)
+    assert nodes[1].gate.count_running() == 0
+    assert nodes[0].services.active == nodes[1].services.active == 0
+
+
+@on_loop
+async def test_drain_cuts_nothing_and_refuses_new_work():
+    nodes, raw = await async_build(lambda _: asyncio.sleep(0.1, OK), 2)
+    running = asyncio.ensure_future(async_call(nodes[0]))
+    await asyncio.sleep(0.03)
+    nodes[1].dispatcher.deliver(upstream.DrainRequested(), 'test')
+    # The other node has not heard of it yet.
+    got = await async_call(nodes[0], 'POST', '/cut', body='x')
+    assert read_refusal(got)[2] is True
+    assert await running == (200, b'ok')
+    assert len(raw.requests) == 1
+
+
+@on_loop
+async def test_queue_admits_in_order_and_refusals_did_not_run():
+    nodes, raw = await async_build(
+        lambda _: asyncio.sleep(0.02, OK), 2, slots=1
+    )
+    answers = await asyncio.gather(
+        *(async_call(nodes[0], 'POST', '/cut', body='x') for _ in range(12))
+    )
+    answered = [answer for answer in answers if answer[0] == 200]
+    refused = [read_refusal(one) for one in answers if one[0] != 200]
+    assert len(answered) == len(raw.requests) >= 2
+    assert refused and all(not_run for _, _, not_run in refused)
+
+
+@on_loop
+async def test_unreached_upstream_did_not_run_the_call():
+    nodes, raw = await async_build(OK, 2)
+    nodes[1].announce(callnodes.find_port(), instance='other')
+    got = await async_call(nodes[0], 'POST', '/cut', body='x')
+    assert read_refusal(got)[2] is True
+
+
+@on_loop
+async def test_continue_is_sent_before_the_body():
+    nodes, _ = await async_build(OK)
+    reader, writer = await asyncio.open_connection(
+        callnodes.HOST, nodes[0].port
+    )
+    head = 'Expect: 100-continue', 'Content-Length: 2'
+    writer.write(build_request('PUT', '/', *head))
+    assert (await reader.readuntil(b'\r\n\r\n')).startswith(b'HTTP/1.1 100')
+    writer.write(b'xy')
+    assert (await reader.read()).endswith(b'ok')
+
+
+class Coordinator(aggregate.Aggregate):
+    """Stands in for the component `once`."""
+
+    name = 'once'
+    handlers = {once.BeginCall: 'begin', once.CallFinished: 'finish'}
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.finished = []
+
+    def start(self, now):
+        return []
+
+    def begin(self, message, sender, now):
+        return [effects.Answer(message.request, self.reply(now))]
+
+    def finish(self, message, sender, now):
+        self.finished.append(message)
+        return []
+
+
+async def async_book(reply, answer):
+    coordinator = Coordinator(reply)
+    mesh = callnodes.Mesh()
+    node = callnodes.Node('n0', mesh, aggregates=(coordinator,))
+    await node.async_listen()
+    raw = await RawUpstream(answer).async_start()
+    node.announce(raw.port)
+    await asyncio.sleep(0.01)
+    got = await async_call(node, 'POST', '/book', KEY, body='x')
+    return got, coordinator.finished, raw
+
+
+def grant(now):
+    return once.CallGranted(now + 1000)
+
+
+@on_loop
+async def test_granted_call_runs_and_its_answer_is_reported():
+    got, finished, raw = await async_book(grant, OK)
+    assert got == (200, b'ok')
+    key = KEY.partition(' ')[2]
+    expected = once.CallFinished(key, once.OUTCOME_RUN, 200, '', b'ok')
+    assert finished == [expected]
+
+
+@on_loop
+async def test_granted_call_that_was_cut_is_reported_as_unknown():
+    got, finished, raw = await async_book(grant, b'')
+    assert read_refusal(got)[2] is False
+    assert [row.outcome for row in finished] == [once.OUTCOME_UNKNOWN]
+    assert len(raw.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ('reply', 'expected'),
+    [
+        (once.CallReplayed(201, 'a/b', b'old'), (201, b'old')),
+        (
+            once.CallRefused('in_progress', once.OUTCOME_UNKNOWN),
+            (503, b'{"reason": "in_progress", "not_run": false}'),
+        ),
+    ],
+)
+@on_loop
+async def test_call_that_is_not_granted_does_not_run(reply, expected):
+    got, finished, raw = await async_book(lambda _: reply, OK)
+    assert got == expected
+    assert not finished and not raw.requests
--- /dev/null
+++ b/tests/adapters/test_wire.py
@@ -0,0 +1,116 @@
+"""Guards against a message that is cut, joined or ended at a wrong place."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from tornado import httputil
+
+from shallotwharf.adapters import wire
+
+
+class Messages(wire.Receiver):
+    def __init__(self, limit=1 << 20):
+        self.found = []
+        self.limit = limit
+        self.reader = wire.Reader(self)
+        self.head = None
+
+    def receive_head(self, start_line, headers):
+        self.head = (start_line, sorted(headers.get_all()))
+        length = wire.find_body_length(headers)
+        return 0 if length == -1 else length
+
+    def receive_size(self, size):
+        return size <= self.limit
+
+    def receive_end(self, body):
+        self.found.append((*self.head, body))
+
+    def feed(self, received):
+        self.reader.feed(received)
+        seen = -1
+        while len(self.found) != seen:
+            seen = len(self.found)
+            if self.reader._state == self.reader._wait:
+                self.reader.resume()
+
+
+def write_message(body, cuts):
+    """Return a message; with `cuts` its body is in chunks of these sizes."""
+    if cuts is None:
+        return b'POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % len(body) + (
+            body
+        )
+    text = b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    rest = body
+    for size in cuts:
+        part, rest = rest[:size], rest[size:]
+        if part:
+            text += b'%x\r\n' % len(part) + part + b'\r\n'
+    if rest:
+        text += b'%X\r\n' % len(rest) + rest + b'\r\n'
+    return text + b'0\r\nTrailer: x\r\n\r\n'
+
+
+MESSAGES = strategies.tuples(
+    strategies.binary(max_size=60),
+    strategies.none() | strategies.lists(strategies.integers(1, 20)),
+)
+
+
+@hypothesis.given(
+    strategies.lists(MESSAGES, max_size=3),
+    strategies.lists(strategies.integers(1, 30)),
+)
+def test_any_split_of_the_bytes_gives_the_same_messages(rows, cuts):
+    text = b''.join(write_message(*row) for row in rows)
+    found = Messages()
+    for size in cuts:
+        part, text = text[:size], text[size:]
+        if part:
+            found.feed(part)
+    if text:
+        found.feed(text)
+    assert [body for _, _, body in found.found] == [body for body, _ in rows]
+    assert not found.reader.is_within_message()
+
+
+@hypothesis.given(MESSAGES, strategies.data())
+def test_message_without_its_last_byte_is_not_whole(row, data):
+    text = write_message(*row)
+    end = data.draw(strategies.integers(0, len(text) - 1))
+    found = Messages()
+    found.feed(text[:end])
+    assert not found.found
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n',
+        b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n' + b'1' * 99,
+        b'GET / HTTP/1.1\r\nNo colon\r\n\r\n',
+        b'GET / HTTP/1.1\r\n Folded: x\r\n\r\n',
+        b'GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n',
+        b'GET / HTTP/1.1\r\n\n\r\n\r\n',
+        b'GET / HTTP/1.1\nA: b\n\n',
+        b'GET / HTTP/1.1\r\nA: ' + b'x' * wire.MAX_HEAD_BYTES,
+    ],
+)
+def test_ambiguous_or_malformed_message_is_refused(text):
+    with pytest.raises(httputil.HTTPInputError):
+        Messages().feed(text)
+
+
+def test_line_break_cannot_be_smuggled_into_a_head():
+    headers = httputil.HTTPHeaders()
+    headers._as_list['A'] = ['b\r\nC: d']
+    with pytest.raises(ValueError, match='line break'):
+        wire.build_head('GET / HTTP/1.1', headers)
--- /dev/null
+++ b/tests/components/upstream/test_gate.py
@@ -0,0 +1,307 @@
+"""Guards against a gate that overruns its upstream or loses an attempt.
+
+The model knows the offered slots, the order of the queue and which attempts
+ran; the gate must agree with it whatever happens in whatever order.
+"""
+
+import pytest
+from hypothesis import stateful, strategies
+
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.poison import messages as poison
+from shallotwharf.components.upstream import const, gate, settings
+from shallotwharf.components.upstream import messages as upstream
+from shallotwharf.core import callports, calls, effects, messages
+
+SLOTS = 3
+WARMUP_MS = 90
+QUEUE_LIMIT = 3
+QUEUE_WAIT_MS = 40
+MEMBER = membership.Member('n', 'd', 'r', '127.0.0.1', 1, 2)
+FAR_AT = 1 << 40
+
+
+def make_gate(poison_list=None, **limits):
+    chosen = settings.GateSettings(QUEUE_LIMIT, QUEUE_WAIT_MS).replace(**limits)
+    made = gate.Gate(
+        MEMBER, chosen, poison_list or callports.EmptyPoisonList(), 0
+    )
+    made.start(0)
+    return made
+
+
+def make_started(instance='1', slots=SLOTS, warmup_ms=0):
+    return upstream.UpstreamStarted(
+        's', 'v1', '127.0.0.1', 9, slots, warmup_ms, instance
+    )
+
+
+def make_step(attempt, rank=0, deadline_at=FAR_AT, version='v1'):
+    return calls.Enter(attempt, rank, 's', version, deadline_at, FAR_AT, False)
+
+
+def make_request(attempt):
+    return calls.Request('GET', f'/{attempt}')
+
+
+class GateMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.gate = make_gate()
+        self.now = 1000
+        self.number = 0
+        self.open = False
+        self.warm_from = 0
+        self.running = []
+        self.waiting = []
+        self.ran = set()
+        self.refused = set()
+        self.timers = {}
+        self.announced = None
+
+    def run(self, step):
+        for effect in step:
+            if isinstance(effect, effects.Answer):
+                self.settle(effect.request, effect.reply)
+            elif isinstance(effect, effects.SetTimer):
+                self.timers[effect.name] = effect.at
+            elif isinstance(effect, effects.Publish):
+                if isinstance(effect.message, membership.Announce):
+                    self.announced = effect.message.announcement
+
+    def count_offered(self):
+        grown = SLOTS * (self.now - self.warm_from) // WARMUP_MS
+        return max(1, min(SLOTS, grown))
+
+    def settle(self, attempt, reply):
+        entry = next(one for one in self.waiting if one[1] == attempt)
+        self.waiting.remove(entry)
+        if isinstance(reply, calls.Admitted):
+            # Ordered by rank, then by arrival.
+            assert all(entry[:1] <= other[:1] for other in self.waiting)
+            same = [one for one in self.waiting if one[0] == entry[0]]
+            assert all(entry[3] < other[3] for other in same)
+            self.admit(attempt)
+        else:
+            self.refuse(attempt)
+
+    def admit(self, attempt):
+        assert self.open
+        assert attempt not in self.refused
+        assert len(self.running) < self.count_offered()
+        self.running.append(attempt)
+        self.ran.add(attempt)
+
+    def refuse(self, attempt):
+        assert attempt not in self.ran
+        self.refused.add(attempt)
+
+    def tell(self, message):
+        self.run(self.gate.handle(message, 'n', self.now))
+
+    @stateful.rule(
+        rank=strategies.integers(0, 2), limit_ms=strategies.integers(0, 80)
+    )
+    def enter(self, rank, limit_ms):
+        self.number += 1
+        attempt = str(self.number)
+        step = make_step(attempt, rank, self.now + limit_ms)
+        admission = self.gate.enter(step, make_request(attempt), self.now)
+        taken = self.gate.take_effects()
+        if isinstance(admission, calls.Queued):
+            entry = (rank, attempt, self.now, self.number, self.now + limit_ms)
+            self.waiting.append(entry)
+        self.run(taken)
+        if isinstance(admission, calls.Admitted):
+            self.admit(attempt)
+        elif isinstance(admission, calls.Refused):
+            self.refuse(attempt)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(
+        which=strategies.integers(0, SLOTS - 1),
+        outcome=strategies.sampled_from(
+            [calls.OUTCOME_ANSWERED] * 4
+            + [
+                calls.OUTCOME_CANCELLED,
+                calls.OUTCOME_LATE,
+                calls.OUTCOME_CLOSED,
+                calls.OUTCOME_UNREACHED,
+            ]
+        ),
+    )
+    def end(self, which, outcome):
+        attempt = self.running.pop(which % len(self.running))
+        self.gate.leave(attempt, calls.Result(outcome), self.now)
+        self.run(self.gate.take_effects())
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule(which=strategies.integers(0, QUEUE_LIMIT - 1))
+    def give_up(self, which):
+        entry = self.waiting.pop(which % len(self.waiting))
+        cancelled = calls.Result(calls.OUTCOME_CANCELLED)
+        self.gate.leave(entry[1], cancelled, self.now)
+        self.run(self.gate.take_effects())
+
+    @stateful.rule(duration_ms=strategies.integers(1, 60))
+    def advance(self, duration_ms):
+        end = self.now + duration_ms
+        while self.timers and min(self.timers.values()) <= end:
+            name = min(self.timers, key=self.timers.get)
+            self.now = max(self.now, self.timers.pop(name))
+            self.tell(messages.TimerFired(name))
+        self.now = end
+
+    @stateful.rule()
+    def start_upstream(self):
+        self.number += 1
+        self.open = True
+        self.warm_from = self.now
+        self.tell(make_started(str(self.number), warmup_ms=WARMUP_MS))
+
+    @stateful.rule(leaves=strategies.booleans())
+    def end_upstream(self, leaves):
+        message = (
+            upstream.UpstreamLeft() if leaves else upstream.DrainRequested()
+        )
+        before = list(self.running)
+        # Until the next start nothing is admitted, not even from the queue.
+        self.open = False
+        self.tell(message)
+        assert not self.waiting
+        assert self.running == before
+
+    @stateful.rule(healthy=strategies.booleans())
+    def report_health(self, healthy):
+        self.tell(upstream.HealthReported(healthy))
+
+    @stateful.invariant()
+    def gate_agrees(self):
+        assert self.gate.count_running() == len(self.running) <= SLOTS
+        assert not self.ran & self.refused
+
+    @stateful.invariant()
+    def nobody_waits_too_long(self):
+        assert len(self.waiting) <= QUEUE_LIMIT
+        for _, _, since, _, deadline_at in self.waiting:
+            assert self.now - since <= QUEUE_WAIT_MS
+            assert self.now <= deadline_at
+
+
+TestGate = GateMachine.TestCase
+
+
+def enter(entered, attempt, now=0, **changes):
+    step = make_step(attempt, **changes)
+    return entered.enter(step, make_request(attempt), now)
+
+
+def start_gate(started=None, **limits):
+    made = make_gate(**limits)
+    made.handle(started or make_started(), 'n', 0)
+    return made
+
+
+class OnePoison(callports.PoisonList):
+    def is_empty(self):
+        return False
+
+    def refuses(self, digest, now):
+        return digest == make_request('bad').compute_digest()
+
+
+@pytest.mark.parametrize(
+    ('reason', 'build'),
+    [
+        (const.REASON_SLOTS_FULL, lambda: start_gate(queue_limit=0)),
+        (const.REASON_QUEUE_FULL, lambda: start_gate(queue_limit=1)),
+        (
+            const.REASON_WARMING,
+            lambda: start_gate(make_started(warmup_ms=99), queue_limit=1),
+        ),
+    ],
+)
+def test_shortage_is_refused_with_its_reason_and_counter(reason, build):
+    full = build()
+    admissions = [enter(full, str(number)) for number in range(SLOTS + 2)]
+    assert admissions[-1] == calls.Refused(reason)
+    counted = effects.Count(f'upstream.refused.{reason}')
+    assert counted in full.take_effects()
+
+
+def test_other_refusals_name_their_reason():
+    assert enter(make_gate(), 'a') == calls.Refused('no_upstream')
+    served = start_gate(poison_list=None)
+    assert enter(served, 'a', version='v2') == calls.Refused('wrong_upstream')
+    assert enter(served, 'a', now=5, deadline_at=5) == calls.Refused(
+        const.REASON_DEADLINE
+    )
+    served.handle(upstream.DrainRequested(), 'n', 0)
+    assert enter(served, 'a') == calls.Refused(const.REASON_DRAINING)
+    poisoned = make_gate(OnePoison())
+    poisoned.handle(make_started(), 'n', 0)
+    assert enter(poisoned, 'bad') == calls.Refused(const.REASON_POISON)
+    assert isinstance(enter(poisoned, 'good'), calls.Admitted)
+
+
+def test_refused_connection_ejects_until_a_trial_succeeds():
+    ejected = start_gate()
+    enter(ejected, 'a')
+    ejected.leave('a', calls.Result(calls.OUTCOME_UNREACHED), 0)
+    assert enter(ejected, 'b', 1) == calls.Refused(const.REASON_UNHEALTHY)
+    trial_at = const.TRIAL_DELAY_MS
+    assert isinstance(enter(ejected, 'c', trial_at), calls.Admitted)
+    assert enter(ejected, 'd', trial_at) == calls.Refused(
+        const.REASON_UNHEALTHY
+    )
+    ejected.leave('c', calls.Result(calls.OUTCOME_ANSWERED), trial_at + 1)
+    assert isinstance(enter(ejected, 'e', trial_at + 1), calls.Admitted)
+
+
+def test_own_evidence_outweighs_the_health_endpoint():
+    served = start_gate()
+    enter(served, 'a')
+    served.leave('a', calls.Result(calls.OUTCOME_ANSWERED), 10)
+    served.handle(upstream.HealthReported(False), 'n', 20)
+    assert isinstance(enter(served, 'b', 20), calls.Admitted)
+    late = 20 + const.OWN_EVIDENCE_MS
+    served.handle(upstream.HealthReported(False), 'n', late)
+    assert enter(served, 'c', late) == calls.Refused(const.REASON_UNHEALTHY)
+
+
+def test_one_crash_is_reported_once_with_all_that_ran():
+    crashed = start_gate()
+    for attempt in 'ab':
+        enter(crashed, attempt)
+    crashed.take_effects()
+    for attempt in 'ab':
+        crashed.leave(attempt, calls.Result(calls.OUTCOME_CLOSED), 5)
+    digests = {make_request(attempt).compute_digest() for attempt in 'ab'}
+    seen = [
+        effect.message
+        for effect in crashed.take_effects()
+        if isinstance(effect, effects.Publish)
+        and isinstance(effect.message, poison.CrashSeen)
+    ]
+    assert seen == [poison.CrashSeen('n', 1, tuple(sorted(digests)))]
+
+
+def test_spare_slots_are_announced_at_a_bounded_rate():
+    busy = start_gate(announce_interval_ms=100)
+    busy.take_effects()
+    published = []
+    due = None
+    for now in range(1, 1001):
+        enter(busy, str(now), now)
+        busy.leave(str(now), calls.Result(calls.OUTCOME_ANSWERED), now)
+        taken = busy.take_effects()
+        if now == due:
+            taken += busy.handle(messages.TimerFired('announce'), 'n', now)
+        for effect in taken:
+            if isinstance(effect, effects.SetTimer):
+                due = effect.at
+            elif isinstance(effect, effects.Publish):
+                published.append(effect.message.announcement)
+    assert 1 <= len(published) <= 11
+    generations = [row.generation for row in published]
+    assert generations == sorted(set(generations))
