--- a/shallotwharf/cli/queries.py
+++ b/shallotwharf/cli/queries.py
@@ -77,7 +77,16 @@
     if as_json:
         output.print_document(found)
         return
-    headings = ['pool', 'from', 'to', 'state', 'share', 'due', 'reason']
+    headings = [
+        'pool',
+        'from',
+        'to',
+        'state',
+        'share',
+        'due',
+        'forecast',
+        'reason',
+    ]
     rows = [[row[name] for name in headings] for row in found['moves']]
     output.print_rows(headings, rows)
 
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -63,7 +63,10 @@
             set_address(seed.name, seed.host, seed.link_port)
         self._admin.listen()
         await self._frame.async_start(*self._aggregates.list_all())
-        self._server.listen_at(self._settings.host, self._settings.call_port)
+        await self._server.async_listen(
+            self._settings.host,
+            self._settings.call_port,
+        )
         logs.write(
             'node_started',
             name=self._settings.name,
