Order the answers of a control process

Cause: a late answer replaced a newer one, so that a relay believed that its control process had not noted a version and nodes waited for 2 s more.

The test world can withhold version parts, so that processes hold different versions for long.

--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -208,6 +208,7 @@
             now,
             self._reports.find_held(self._own.datacentre),
             self._subscriptions.has(relay),
+            self._peers.incarnation,
         )
 
     def _set_timer(self, now: int) -> effects.Effect:
--- a/shallotwharf/components/delivery/messages.py
+++ b/shallotwharf/components/delivery/messages.py
@@ -121,9 +121,17 @@
         stamp: its clock; the next report returns it as `echo`.
         noted: highest version it knows a relay of its data centre to hold.
         subscribed: whether the receiver has a subscription.
+        incarnation: random number of the process.
     """
 
-    __slots__ = ('number', 'current', 'stamp', 'noted', 'subscribed')
+    __slots__ = (
+        'number',
+        'current',
+        'stamp',
+        'noted',
+        'subscribed',
+        'incarnation',
+    )
 
     def __init__(
         self,
@@ -132,12 +140,14 @@
         stamp: int,
         noted: int,
         subscribed: bool,
+        incarnation: int,
     ) -> None:
         self.number = number
         self.current = current
         self.stamp = stamp
         self.noted = noted
         self.subscribed = subscribed
+        self.incarnation = incarnation
 
 
 @messages.register('delivery.relay_part')
--- a/shallotwharf/components/delivery/peers.py
+++ b/shallotwharf/components/delivery/peers.py
@@ -31,14 +31,15 @@
         held: highest committed version known here.
         settled: whether this process may state a floor.
         leading: whether this process leads the log.
+        incarnation: random number of this process.
     """
 
     __slots__ = (
         'held',
         'settled',
         'leading',
+        'incarnation',
         '_own',
-        '_incarnation',
         '_target',
         '_peers',
     )
@@ -53,7 +54,7 @@
         self.settled = False
         self.leading = False
         self._own = own
-        self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
+        self.incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._target: int | None = None
         self._peers = {name: _Peer(0) for name in voters if name != own}
 
@@ -83,7 +84,7 @@
         peer.heard_at = now
         unknown = peer.incarnation != progress.incarnation
         peer.incarnation = progress.incarnation
-        if progress.leading and progress.seen == self._incarnation:
+        if progress.leading and progress.seen == self.incarnation:
             self._target = progress.number
             self._settle()
         return unknown
@@ -93,7 +94,7 @@
         return messages.PeerProgress(
             self.held,
             self.leading,
-            self._incarnation,
+            self.incarnation,
             self._peers[peer].incarnation,
         )
 
--- a/shallotwharf/components/delivery/relay.py
+++ b/shallotwharf/components/delivery/relay.py
@@ -199,8 +199,8 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note the answer of a control process."""
-        self._uplink.receive_status(sender, message, now)
-        self._reporter.receive_status(sender, message, now)
+        if self._reporter.receive_status(sender, message, now):
+            self._uplink.receive_status(sender, message, now)
         return []
 
     def retry_later(
--- a/shallotwharf/components/delivery/reporter.py
+++ b/shallotwharf/components/delivery/reporter.py
@@ -24,12 +24,12 @@
         '_random',
         '_control',
         '_local',
-        '_stamps',
-        '_noted',
+        '_statuses',
         '_local_heard_at',
         '_reported',
         '_sent_at',
         '_beat_at',
+        '_local_at',
     )
 
     def __init__(
@@ -47,12 +47,12 @@
             if process.datacentre == datacentre
         ]
         self._local = local[0] if local else ''
-        self._stamps: dict[str, int] = {}
-        self._noted = 0
+        self._statuses: dict[str, messages.FeedStatus] = {}
         self._local_heard_at = 0
         self._reported = -1
         self._sent_at = 0
         self._beat_at = 0
+        self._local_at = 0
 
     def start(self, now: int) -> None:
         """Begin to report; wait for the local control process at first."""
@@ -60,24 +60,26 @@
         self._reported = -1
         self._sent_at = now - const.REPORT_SPACING_MS
         self._beat_at = now
+        self._local_at = now
 
     def receive_status(
         self,
         sender: str,
         status: messages.FeedStatus,
         now: int,
-    ) -> None:
-        """Note the stamp for the next report and what was noted."""
-        if sender not in self._stamps:
+    ) -> bool:
+        """Note what was noted; return False if a later answer is known."""
+        known = self._statuses.get(sender)
+        if known is None:
             # Reports without a stamp do not count; send one that does.
             self._reported = -1
-        self._stamps[sender] = max(
-            self._stamps.get(sender, 0),
-            status.stamp,
-        )
+        elif known.incarnation == status.incarnation:
+            if status.stamp < known.stamp:
+                return False
+        self._statuses[sender] = status
         if sender == self._local:
-            self._noted = status.noted
             self._local_heard_at = now
+        return True
 
     def limit_claim(self, held: int, now: int) -> int:
         """Return which version nodes may count on."""
@@ -85,7 +87,8 @@
             return held
         if now - self._local_heard_at >= const.SILENCE_MS:
             return held
-        return min(held, self._noted)
+        status = self._statuses.get(self._local)
+        return min(held, status.noted if status else 0)
 
     def report(
         self,
@@ -105,9 +108,9 @@
             self._reported = held
             nodes.changed = False
             return self._make_reports(nodes, held, now, self._list_control())
-        if self._reported < held and self._local:
+        if self.limit_claim(held, now) < held and now >= self._local_at:
             # Nodes wait for this report.
-            self._reported = held
+            self._local_at = now + const.NODE_RETRY_MS
             return self._make_reports(nodes, held, now, [self._local])
         return []
 
@@ -125,7 +128,11 @@
         return [
             effects.Send(
                 receiver,
-                report.replace(echo=self._stamps.get(receiver, 0)),
+                report.replace(echo=self._read_stamp(receiver)),
             )
             for receiver in receivers
         ]
+
+    def _read_stamp(self, control: str) -> int:
+        status = self._statuses.get(control)
+        return status.stamp if status else 0
--- a/tests/components/delivery/world.py
+++ b/tests/components/delivery/world.py
@@ -11,7 +11,13 @@
 import random
 
 from shallotwharf.adapters import codec
-from shallotwharf.components.delivery import feed, messages, relay, subscriber
+from shallotwharf.components.delivery import (
+    exchange,
+    feed,
+    messages,
+    relay,
+    subscriber,
+)
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.tables import (
@@ -29,6 +35,7 @@
 # The membership counts a process that was frozen for this long as dead.
 DEAD_MS = 800
 LEASE_MS = 900
+PARTS = (messages.RelayPart, exchange.NodePart)
 
 
 class Recorder(aggregate.Aggregate):
@@ -57,17 +64,26 @@
 
 
 class Cluster(fakes.Cluster):
-    """Counts bytes by sender and receiver."""
+    """Counts bytes, and can withhold the parts of versions.
+
+    A process in `starved` sends and gets every message but parts of
+    versions, as if each transfer broke off in the middle. This lets
+    processes that talk to each other hold different versions for long.
+    """
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.sent = collections.Counter()
         self.kinds = collections.Counter()
+        self.starved = set()
 
     def transmit(self, sender, peer, message):
         size = len(codec.encode(message))
         self.sent[sender, peer] += size
         self.kinds[type(message).__name__] += size
+        starved = {sender, peer} & self.starved
+        if starved and isinstance(message, PARTS):
+            return True
         return super().transmit(sender, peer, message)
 
     def is_cut(self, left, right):
@@ -181,7 +197,12 @@
             if process.frozen:
                 self.thaw(name)
 
+    def starve(self, names):
+        """Withhold new versions from relays, nodes and followers."""
+        self.cluster.starved.update(names)
+
     def mend(self):
+        self.cluster.starved.clear()
         self.cluster.heal()
         self.cluster.loss = 0.0
         self.cluster.duplicate = 0.0
@@ -313,8 +334,10 @@
             return
         self.replicate_to(self.leader, 0)
         for process in self.control:
-            reached = self.is_up(process.name) and not self.cluster.is_cut(
-                process.name, self.leader
+            reached = (
+                self.is_up(process.name)
+                and not self.cluster.is_cut(process.name, self.leader)
+                and process.name not in self.cluster.starved
             )
             if reached and self.random.random() < 0.5:
                 self.replicate_to(process.name, STEP_MS)
