Shorten the fastest schedule of a move

Cause: with a due time a minute away a good version was late by plan.

Change: a step lasts 8 s at least (3 s to the nodes, 2 s of evidence, 2 s to control, 1 s for the proposal) and the warm-up 20 s. The fastest plan takes 44 s for pools that serve confirmations and 36 s for others.

--- a/shallotwharf/components/move/const.py
+++ b/shallotwharf/components/move/const.py
@@ -13,9 +13,9 @@
 # Growth of the share from step to step, tried in this order; the last one
 # is taken when the due time is too near for the others.
 GROWTHS: typing.Final = (2, 3, 5)
-# A version reaches the nodes within 3 s; the rest is for evidence, of which
-# the test needs at least four slices, and its way to control.
-MIN_STEP_MS: typing.Final = clock.MINUTE_MS // 4
+# A version reaches the nodes within 3 s, the test needs four slices at least,
+# a summary takes 2 s to control, and a second is left for the proposal.
+MIN_STEP_MS: typing.Final = 8 * clock.SECOND_MS
 MAX_STEP_MS: typing.Final = 10 * clock.MINUTE_MS
 # Calls of the new version that a step should collect when there is time:
 # enough to find a failure rate of a few percent.
@@ -29,7 +29,7 @@
 # which its errors and slow answers are judged by the warm-up rates of
 # `reference.KINDS` only; crashes are never allowed.
 WARM_UP_SHARE: typing.Final = FIRST_SHARE
-WARM_UP_MS: typing.Final = clock.MINUTE_MS // 2
+WARM_UP_MS: typing.Final = clock.MINUTE_MS // 3
 # How long a full share is watched before the move is done.
 WATCH_MS: typing.Final = 10 * clock.MINUTE_MS
 
--- a/shallotwharf/components/move/schedule.py
+++ b/shallotwharf/components/move/schedule.py
@@ -3,8 +3,8 @@
 The move is planned to be full at the due time minus a slack for one stop.
 If the due time is past or too near, the plan is the fastest safe one: steps
 of `const.MIN_STEP_MS`, the first one longer by the warm-up, each at most
-five times the share before it. From the start that is 75 s for pools that
-serve confirmations and 60 s for others.
+five times the share before it. From the first step that is 44 s for pools
+that serve confirmations and 36 s for others.
 """
 
 import math
