Measure the control side with real processes; test the single file

Cause: no figure said what a node and a control process cost, and nothing checked that the single-file program is one process.

A test builds the single file and counts the processes of its group. A node logs each version that it applies.

--- a/shallotwharf/components/delivery/subscriber.py
+++ b/shallotwharf/components/delivery/subscriber.py
@@ -261,6 +261,7 @@
         return [
             effects.Publish(tables_messages.VersionApplied(candidate)),
             effects.Count('delivery.versions_applied'),
+            effects.Report('version_applied', {'number': candidate.number}),
             *self._tell_relays(now),
         ]
 
--- a/tests/cli/test_client.py
+++ b/tests/cli/test_client.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from measurements import site as processes
 from shallotwharf.adapters import admin
 from shallotwharf.cli import client
 from shallotwharf.core import errors
-from tests.processes import processes
 
 
 @pytest.fixture
--- a/tests/processes/test_moves.py
+++ b/tests/processes/test_moves.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tests.processes import processes, test_path
+from measurements import site as processes
+from tests.processes import test_path
 
 CALLER_PAUSE_SECONDS = 0.01
 
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.processes import processes
+from measurements import site as processes
 
 ROUTES = [{'name': 'menu', 'path_prefix': '/menu', 'pool': 'menu'}]
 POOLS = [{'name': 'menu', 'service': 'menu', 'weights': {'v1': 100}}]
