Remember the commit index; make disk and memory agree after a failed store

After a failed store the disk could hold entries that memory had taken back, and later entries were appended behind them. A leader with a full disk handed over although the others were no majority. A voter's disk that came back while an empty one was learning got no entries. Change: the state on disk holds the commit index and is stored after the entries; the first write after a failure rewrites the uncommitted tail; a hand-over needs a majority that can write; the learner gives way.

--- a/shallotwharf/components/replica/configuration.py
+++ b/shallotwharf/components/replica/configuration.py
@@ -82,6 +82,16 @@
         others = _without_name(self.learners, learner.name)
         return type(self)(self.voters, (*others, learner))
 
+    def without_learner(self, name: str) -> typing.Self:
+        """Return a copy without the learner of a name."""
+        return type(self)(self.voters, _without_name(self.learners, name))
+
+    def has_rival(self, voter: Member) -> bool:
+        """Tell whether a learner has the name of a voter."""
+        return voter in self.voters and any(
+            learner.name == voter.name for learner in self.learners
+        )
+
     def without(self, name: str) -> typing.Self:
         """Return a copy without the voter and learner of a name."""
         return type(self)(
--- a/shallotwharf/components/replica/duties.py
+++ b/shallotwharf/components/replica/duties.py
@@ -52,7 +52,7 @@
         # Before the last stop this process may have promised a leader not
         # to vote for another one for a while.
         self._kernel.heard_at = now
-        self._kernel.publish_snapshot()
+        self._kernel.restore()
         self._founding.greet(now)
         self.begin(now)
 
@@ -128,7 +128,6 @@
         """
         self._report('writes_suspended', retry_ms=const.PROBE_MS)
         led = self._kernel.undo()
-        self._kernel.storage_failed = True
         self._kernel.failed_at = now
         self._kernel.snapshot_wanted = False
         self._published = None
@@ -198,11 +197,11 @@
         self._founding.greet(now)
 
     def _probe(self, now: int) -> None:
-        """Write the state again; `StoreFailed` follows if that fails."""
+        """Try to write again; `StoreFailed` follows if that fails."""
         if self._kernel.storage_failed:
-            self._kernel.storage_failed = False
+            self._kernel.failed_at = None
             self._report('writes_resumed')
-            self._kernel.change_term(self._kernel.term, self._kernel.vote)
+            self._kernel.rewrite_tail()
 
 
 _TIMERS: typing.Final = types.MappingProxyType(
--- a/shallotwharf/components/replica/founding.py
+++ b/shallotwharf/components/replica/founding.py
@@ -34,7 +34,14 @@
 class Founding:
     """Greets the voters of the settings until there is a configuration."""
 
-    __slots__ = ('_kernel', '_voters', '_seen', '_known', '_greeters')
+    __slots__ = (
+        '_kernel',
+        '_voters',
+        '_seen',
+        '_known',
+        '_greeters',
+        '_missing',
+    )
 
     def __init__(
         self,
@@ -47,6 +54,7 @@
         self._known: set[str] = set(voters)
         # The latest disk that each process showed.
         self._greeters: dict[str, str] = {}
+        self._missing: set[str] = set()
 
     def greet(self, now: int) -> None:
         """Ask all known processes; found the group if that is due."""
@@ -111,7 +119,7 @@
         for voter, seen in self._seen.items():
             if now - seen.at <= const.GREETING_LIFETIME_MS:
                 disks[voter] = seen.identity
-        if not disks.keys() >= set(self._voters):
+        if self._report_missing(set(self._voters) - disks.keys()):
             return
         members = configuration.Configuration(
             tuple(
@@ -133,6 +141,16 @@
             self._kernel.change_term(max(founding.term, self._kernel.term))
             self._kernel.append((founding,))
 
+    def _report_missing(self, missing: set[str]) -> bool:
+        """Report whom the founder waits for when that changes."""
+        if missing != self._missing:
+            self._missing = missing
+            names = ','.join(sorted(missing))
+            self._kernel.outbox.add(
+                effects.Report('founding_waits', {'missing': names}),
+            )
+        return bool(missing)
+
     def _is_stale(self, members: configuration.Configuration) -> bool:
         """Tell whether a voter showed another disk since.
 
--- a/shallotwharf/components/replica/kernel.py
+++ b/shallotwharf/components/replica/kernel.py
@@ -4,6 +4,7 @@
 import typing
 
 from shallotwharf.components.replica import (
+    checkpoint,
     configuration,
     const,
     log,
@@ -11,34 +12,12 @@
     outbox,
     stored,
 )
-from shallotwharf.core import effects, records, storage
+from shallotwharf.core import effects, storage
 from shallotwharf.core import messages as core_messages
 
 INTERNAL: typing.Final = (stored.Noop, configuration.Configuration)
 
 
-class _Checkpoint(records.Record):
-    __slots__ = ('term', 'vote', 'commit', 'snapshot', 'parts', 'role', 'log')
-
-    def __init__(
-        self,
-        term: int,
-        vote: str,
-        commit: int,
-        snapshot: stored.Snapshot | None,
-        parts: tuple[core_messages.Message, ...],
-        role: str,
-        saved_log: log.Checkpoint,
-    ) -> None:
-        self.term = term
-        self.vote = vote
-        self.commit = commit
-        self.snapshot = snapshot
-        self.parts = parts
-        self.role = role
-        self.log = saved_log
-
-
 class Kernel:
     """Term, vote, log, commit index and role of one replica.
 
@@ -61,12 +40,12 @@
         'role',
         'leader',
         'heard_at',
-        'storage_failed',
         'failed_at',
         'outbox',
         'pending',
         'touched',
         'snapshot_wanted',
+        '_published',
         '_snapshot_entries',
         '_checkpoint',
     )
@@ -85,8 +64,8 @@
         self.role = const.ROLE_FOLLOWER
         self.leader = ''
         self.heard_at = 0
-        self.storage_failed = False
-        self.failed_at = 0
+        # When a store failed; None while the disk takes writes.
+        self.failed_at: int | None = None
         # Requests by the index of the entry this process appended for them.
         self.pending: dict[int, str] = {}
         # Requests added or answered in this step, for a store that fails.
@@ -96,6 +75,7 @@
         state = typing.cast(stored.State | None, recovered.state)
         self.term = 0 if state is None else state.term
         self.vote = '' if state is None else state.vote
+        self._published = 0 if state is None else state.commit
         self.snapshot = typing.cast(stored.Snapshot | None, recovered.header)
         self.parts = recovered.parts
         self.commit = 0 if self.snapshot is None else self.snapshot.index
@@ -108,6 +88,11 @@
         """Return the configuration in force."""
         return self.log.members
 
+    @property
+    def storage_failed(self) -> bool:
+        """Tell whether the disk refused the latest write."""
+        return self.failed_at is not None
+
     @property
     def founded(self) -> bool:
         """Tell whether this process has a configuration."""
@@ -134,7 +119,7 @@
         """Enter a term or vote in the current one; stored in this step."""
         self.term = term
         self.vote = vote
-        self.outbox.save_state(stored.State(term, vote))
+        self._save_state()
 
     def follow(self, leader: str) -> None:
         """Become follower; requests that wait get no certain answer."""
@@ -163,23 +148,32 @@
         self.log.append(entries)
         self.outbox.store(storage.AppendRecords(entries[0].index, entries))
 
+    def restore(self) -> None:
+        """Publish what was published before the last stop."""
+        self.publish_snapshot()
+        index = min(self._published, self.log.last_index)
+        if index > self.commit:
+            self._publish_commands(index)
+
+    def rewrite_tail(self) -> None:
+        """Make the disk agree with memory after a store that failed.
+
+        The disk may be ahead: parts of the step that was undone may be on
+        it, and they may differ from what is appended from now on.
+        """
+        tail = self.log.read_range(self.commit + 1, self.log.last_index)
+        self.outbox.store(storage.AppendRecords(self.commit + 1, tuple(tail)))
+        self._save_state()
+
     def commit_to(self, index: int) -> None:
-        """Publish the commands up to an index that a majority has."""
-        for entry in self.log.read_range(self.commit + 1, index):
-            request = self.pending.pop(entry.index, '')
-            if request:
-                self.touched.append(request)
-            if not isinstance(entry.command, INTERNAL):
-                self.outbox.add(
-                    effects.Publish(
-                        messages.Committed(
-                            entry.index,
-                            entry.command,
-                            request,
-                        ),
-                    ),
-                )
-        self.commit = max(index, self.commit)
+        """Publish the commands up to an index that a majority has.
+
+        With a full disk they are published all the same: they are on the
+        disks of a majority.
+        """
+        self._publish_commands(index)
+        if not self.storage_failed:
+            self._save_state()
         self._want_snapshot()
 
     def take_snapshot(self, taken: messages.SnapshotTaken) -> None:
@@ -215,6 +209,7 @@
             self.log.reset(snapshot)
         self.commit = snapshot.index
         self._save_snapshot(snapshot.index + 1)
+        self._save_state()
         self.publish_snapshot()
 
     def publish_snapshot(self) -> None:
@@ -226,8 +221,30 @@
                 ),
             )
 
-    def _build_checkpoint(self) -> _Checkpoint:
-        return _Checkpoint(
+    def _publish_commands(self, index: int) -> None:
+        for entry in self.log.read_range(self.commit + 1, index):
+            request = self.pending.pop(entry.index, '')
+            if request:
+                self.touched.append(request)
+            if not isinstance(entry.command, INTERNAL):
+                self.outbox.add(
+                    effects.Publish(
+                        messages.Committed(
+                            entry.index,
+                            entry.command,
+                            request,
+                        ),
+                    ),
+                )
+        self.commit = max(index, self.commit)
+
+    def _save_state(self) -> None:
+        self.outbox.save_state(
+            stored.State(self.term, self.vote, self.commit),
+        )
+
+    def _build_checkpoint(self) -> checkpoint.Checkpoint:
+        return checkpoint.Checkpoint(
             self.term,
             self.vote,
             self.commit,
--- a/shallotwharf/components/replica/membership.py
+++ b/shallotwharf/components/replica/membership.py
@@ -47,11 +47,14 @@
         """
         self._candidates[greeter.name] = greeter
         members = self._kernel.members
-        if members.is_member(greeter.identity):
+        silent = self._leadership.is_silent(greeter.name, now)
+        if not members.has_name(greeter.name) or not silent or not self.idle:
             return
-        lost = self._leadership.is_silent(greeter.name, now)
-        if members.has_name(greeter.name) and lost and self.idle:
+        if not members.is_member(greeter.identity):
             self._change(members.with_learner(greeter), now)
+        elif members.has_rival(greeter):
+            # The voter's disk is back; the empty one took its place.
+            self._change(members.without_learner(greeter.name), now)
 
     def change(
         self,
@@ -74,7 +77,18 @@
                 return
 
     def hand_over(self) -> bool:
-        """Give the lead to a follower that can write; return whether so."""
+        """Give the lead to a follower that can write; return whether so.
+
+        The others that can write must be a majority by themselves, since
+        this process can neither vote nor store entries.
+        """
+        proven = {
+            identity
+            for identity, peer in self._leadership.peers.items()
+            if self._is_proven(peer)
+        }
+        if not self._kernel.members.has_majority(proven):
+            return False
         for peer in self._leadership.peers.values():
             if self._can_lead(peer):
                 self._kernel.outbox.send(
@@ -124,11 +138,18 @@
     def _can_lead(self, peer: progress.Progress) -> bool:
         return (
             peer.member in self._kernel.members.voters
-            and peer.writable
-            and peer.proved_at > self._kernel.failed_at
+            and self._is_proven(peer)
             and peer.match == self._kernel.log.last_index
         )
 
+    def _is_proven(self, peer: progress.Progress) -> bool:
+        failed_at = self._kernel.failed_at
+        return (
+            failed_at is not None
+            and peer.writable
+            and peer.proved_at > failed_at
+        )
+
     def _change(
         self,
         members: configuration.Configuration,
--- a/shallotwharf/components/replica/outbox.py
+++ b/shallotwharf/components/replica/outbox.py
@@ -7,8 +7,9 @@
 class Outbox:
     """Effects of one step in the order they must run.
 
-    Answers that hold whatever happens come first, then all stores, then
-    what may only be seen once the stores are on disk.
+    Answers that hold whatever happens come first, then the stores, then
+    what may only be seen once the stores are on disk. The state is stored
+    last, since its commit index counts on the entries.
     """
 
     __slots__ = ('_early', '_state', '_stores', '_late')
@@ -30,7 +31,7 @@
             self._late.append(effects.Answer(request, reply))
 
     def save_state(self, state: stored.State) -> None:
-        """Store term and vote; the last call of a step counts."""
+        """Store the state; the last call of a step counts."""
         self._state = state
 
     def store(self, operation: records.Record) -> None:
@@ -48,9 +49,9 @@
     def take(self) -> list[effects.Effect]:
         """Return the effects of the step and start the next one."""
         step = self._early
+        step.extend(self._stores)
         if self._state is not None:
             step.append(effects.Store(storage.SaveState(self._state)))
-        step.extend(self._stores)
         step.extend(self._late)
         self._early = []
         self._state = None
--- a/shallotwharf/components/replica/stored.py
+++ b/shallotwharf/components/replica/stored.py
@@ -30,13 +30,21 @@
 
 @messages.register('replica.state')
 class State(messages.Message):
-    """Current term and the identity of the candidate voted for in it."""
+    """What a replica must remember besides its log.
 
-    __slots__ = ('term', 'vote')
+    Attributes:
+        term: current term.
+        vote: disk of the candidate voted for in that term; empty if none.
+        commit: last index whose command was published, so that a restarted
+            process never shows an older state than before, even alone.
+    """
+
+    __slots__ = ('term', 'vote', 'commit')
 
-    def __init__(self, term: int, vote: str) -> None:
+    def __init__(self, term: int, vote: str, commit: int = 0) -> None:
         self.term = term
         self.vote = vote
+        self.commit = commit
 
 
 @messages.register('replica.snapshot')
--- a/shallotwharf/core/storage.py
+++ b/shallotwharf/core/storage.py
@@ -20,8 +20,9 @@
 class AppendRecords(records.Record):
     """Write records with the indices `first`, `first + 1` and so on.
 
-    Records that the log held from `first` on are replaced. `first` is at
-    most one beyond the last index, or any index if the log is empty.
+    Records that the log held from `first` on are replaced; without entries
+    they are removed. `first` is at most one beyond the last index, or any
+    index if the log is empty.
     """
 
     __slots__ = ('first', 'entries')
--- a/tests/components/replica/groups.py
+++ b/tests/components/replica/groups.py
@@ -43,8 +43,9 @@
         tables_messages.VersionAccepted: 'accept',
     }
 
-    def __init__(self, group):
+    def __init__(self, group, process):
         self.group = group
+        self.process = process
         self.index = 0
         self.leading = False
 
@@ -65,6 +66,7 @@
     def accept(self, message, sender, now):
         number = message.accepted.number
         digest = message.accepted.compute_digest()
+        self.group.note_shown(self.process, number)
         known = self.group.digests.setdefault(number, digest)
         assert known == digest, 'two versions with one number'
         return []
@@ -89,6 +91,7 @@
         self.ledgers = {}
         self.watchers = {}
         self.waiting = {}
+        self.shown = {}
         self.requests = 0
         for name in self.names:
             self.start(name)
@@ -118,7 +121,7 @@
             self.snapshot_entries,
         )
         self.ledgers[name] = ledger.Ledger(part_bytes=200)
-        self.watchers[name] = Watcher(self)
+        self.watchers[name] = Watcher(self, name)
         self.cluster.start(
             name,
             self.replicas[name],
@@ -127,6 +130,15 @@
             storage=storage,
         )
 
+    def note_shown(self, name, number):
+        """Note the latest version a process showed with its disk.
+
+        With a full disk it shows versions that it cannot remember.
+        """
+        if not self.folders[name].full:
+            disk_name = (name, self.disks[name])
+            self.shown[disk_name] = max(self.shown.get(disk_name, 0), number)
+
     def kill(self, name):
         self.collect()
         self.cluster.kill(name)
@@ -234,6 +246,8 @@
             current = found.current
             known = self.digests.get(current.number)
             assert current.number == 0 or known, f'{name}: unknown version'
+            shown = self.shown.get((name, self.disks[name]), 0)
+            assert current.number >= shown, f'{name} went back from {shown}'
 
     def calm(self):
         self.cluster.heal()
--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -346,3 +346,36 @@
         group.commit_edit()
     log = group.replicas[follower]._kernel.log
     assert log.last_index - log.base < 3 * 4
+
+
+def test_isolated_process_shows_its_latest_version_after_a_restart():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    for _ in range(5):
+        group.commit_edit()
+    follower = list_others(group, leader)[0]
+    group.run(SECOND_MS)
+    group.cluster.cut([follower], list_others(group, follower))
+    group.kill(follower)
+    group.start(follower)
+    assert group.ledgers[follower].current.number == 5
+    group.recover()
+
+
+def test_disk_that_comes_back_while_an_empty_one_learns():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.commit_edit()
+    lost, other = list_others(group, leader)
+    kept = group.folders[lost]
+    group.wipe(lost)
+    replica = group.replicas[leader]
+    group.run_until(lambda: replica.read_status().members.learners, 5000)
+    group.kill(other)
+    group.kill(lost)
+    group.folders[lost] = kept
+    group.disks[lost] = 1
+    group.start(lost)
+    group.start(other)
+    group.recover()
+    assert read_voters(group) == {'a1', 'b1', 'c1'}
--- a/tests/components/replica/test_votes.py
+++ b/tests/components/replica/test_votes.py
@@ -5,7 +5,9 @@
 
 import random
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from shallotwharf.adapters import disk
 from shallotwharf.components.replica import (
@@ -31,7 +33,8 @@
 class Single:
     """One replica with its disk; collects what it sends and publishes."""
 
-    def __init__(self, *entries, term=1):
+    def __init__(self, *entries, term=1, snapshot_entries=256):
+        self.snapshot_entries = snapshot_entries
         self.data = folders.FakeFolder()
         self.disk = disk.DiskStorage(self.data, 'a1')
         self.disk.execute(storage.SaveState(stored.State(term, '')))
@@ -47,6 +50,7 @@
             ('a', 'b', 'c'),
             self.disk.recover(),
             random.Random(1),
+            self.snapshot_entries,
         )
         self.run(self.replica.start(0))
         self.now = LATER_MS
@@ -82,6 +86,21 @@
             for reply in replies
         )
 
+    def append(self, *entries, commit=0, term=3):
+        """Hand over entries of a leader; return what is published."""
+        previous = entries[0].index - 1 if entries else 0
+        message = protocol.AppendEntries(
+            term,
+            'a1',
+            previous,
+            term if previous > 1 else 1,
+            entries,
+            commit,
+            False,
+            0,
+        )
+        return self.hand_over(message)
+
     def win(self):
         """Become leader with the vote of b."""
         term = self.replica.read_status().term + 1
@@ -192,3 +211,87 @@
     empty.handle(protocol.Greet('a1'), 'a', 3)
     empty.handle(greeting, 'a', 4)
     assert empty.read_status().members == MEMBERS
+
+
+def test_entries_of_a_step_that_failed_are_not_kept_on_disk():
+    single = Single(stored.Entry(2, 1, messages.NotLeader('old')))
+    new = (stored.Entry(2, 3, stored.Noop()), stored.Entry(3, 3, stored.Noop()))
+    message = protocol.AppendEntries(3, 'a1', 1, 1, new, 0, False, 0)
+    # The entries are written, then the state with the new term fails.
+    single.data.full_in = 2
+    sent = single.hand_over(message)
+    assert not any(isinstance(m, protocol.AppendReply) for m in sent)
+    assert single.replica.read_status().last_index == 2
+    single.hand_over(core_messages.TimerFired(const.TIMER_PROBE))
+    single.boot()
+    found = single.disk.recover().entries
+    assert found[1:] == (stored.Entry(2, 1, messages.NotLeader('old')),)
+
+
+def test_snapshot_is_asked_for_again_after_the_disk_was_full():
+    single = Single(snapshot_entries=2)
+    entries = [
+        stored.Entry(index, 3, messages.NotLeader(str(index)))
+        for index in range(2, 6)
+    ]
+    single.append(*entries[:3])
+    single.data.full = True
+    message = protocol.AppendEntries(3, 'a1', 4, 3, (), 4, False, 0)
+    single.hand_over(message)
+    assert messages.SnapshotWanted() in single.hand_over(message)
+    single.hand_over(messages.SnapshotTaken(4, (stored.Noop(),)))
+    single.data.full = False
+    single.hand_over(core_messages.TimerFired(const.TIMER_PROBE))
+    published = single.append(entries[3], commit=5)
+    assert messages.SnapshotWanted() in published
+
+
+def test_repeated_part_of_a_snapshot_is_taken_once():
+    single = Single()
+    header = stored.Snapshot(9, 2, MEMBERS)
+    parts = tuple(stored.State(number, '') for number in range(3))
+    sent = []
+    for part in (0, 0, 2, 1, 1, 2, 2):
+        message = protocol.InstallSnapshot(
+            3,
+            'a1',
+            header,
+            part,
+            len(parts),
+            parts[part],
+            0,
+        )
+        sent.extend(single.hand_over(message))
+    restored = messages.SnapshotRestored(9, parts)
+    assert [m for m in sent if isinstance(m, type(restored))] == [restored]
+    found = single.disk.recover()
+    assert (found.header, found.parts) == (header, parts)
+
+
+@hypothesis.given(strategies.randoms(use_true_random=False))
+def test_log_agrees_with_a_list_of_entries(source):
+    found, model, base = log.Log(), [], 0
+    for term in range(1, 30):
+        saved, kept, saved_base = found.checkpoint(), list(model), base
+        last = base + len(model)
+        if model and source.random() < 0.3:
+            first = source.randint(base + 1, last + 1)
+            snapshot = stored.Snapshot(last, model[-1].term, MEMBERS)
+            found.compact(snapshot, first)
+            base_term = model[first - base - 2].term if first > base + 1 else 0
+            model, base = model[first - base - 1 :], first - 1
+            assert base_term in {0, found.find_term(base)}
+        else:
+            first = source.randint(base + 1, last + 1)
+            added = tuple(
+                stored.Entry(index, term, stored.Noop())
+                for index in range(first, first + source.randint(1, 3))
+            )
+            found.append(added)
+            model = [*model[: first - base - 1], *added]
+        if source.random() < 0.2:
+            found.restore(saved)
+            model, base = kept, saved_base
+        last = base + len(model)
+        assert (found.base, found.last_index) == (base, last)
+        assert list(found.read_range(base + 1, last)) == model
--- a/tests/folders.py
+++ b/tests/folders.py
@@ -20,12 +20,13 @@
     """Files in memory; `crash` keeps what was synced and part of the rest.
 
     Names and contents are synced apart. `full` lets writes fail after a part
-    was written; `crash_in` stops the process at the given operation.
+    was written, `full_in` lets one fail; `crash_in` stops the process at the given operation.
     """
 
     def __init__(self, seed: int = 1) -> None:
         self.random = random.Random(seed)
         self.full = False
+        self.full_in: int | None = None
         self.crash_in: int | None = None
         self.operations = 0
         self._files: dict[str, _File] = {}
@@ -104,7 +105,9 @@
 
     def _add(self, file: str, content: bytes) -> None:
         found = self._files.setdefault(file, _File())
-        if self.full:
+        if self.full_in is not None:
+            self.full_in -= 1
+        if self.full or self.full_in == 0:
             found.content += content[: len(content) // 2]
             raise errors.StorageError('no space left', 'write', file)
         found.content += content
