Close gaps between deadline, grant and slot, and split the adapters

Cause: an attempt that expired between admission and sending made its upstream count as unreachable; a retry at the own gate kept the forwarded header; a grant that came after the caller's deadline kept its key claimed; two attempts with one id would have shared a slot; a draining target was tried again every 20 ms where its announcement was lost.

Change: such an attempt ends as refused (deadline_too_short, not run); own headers are removed before each send to an upstream; a late grant is reported as not run; the gate refuses a second attempt with a running id; a target is avoided for as long as the reason of its refusal lasts. answers, connection and services are modules of their own.

--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -18,8 +18,8 @@
 
 from shallotwharf.components.call import caller
 from shallotwharf.components.membership import messages as membership
-from shallotwharf.components.tables import messages as tables
 from shallotwharf.components.tables import const, pool, route, version
+from shallotwharf.components.tables import messages as tables
 from shallotwharf.components.upstream import gate, settings
 from shallotwharf.components.upstream import messages as upstream
 from shallotwharf.core import callports, calls, clock, effects, messages
--- a/measurements/latency.py
+++ b/measurements/latency.py
@@ -31,7 +31,7 @@
     iostream,
 )
 
-from shallotwharf.adapters import outbound
+from shallotwharf.adapters import connection, outbound
 from shallotwharf.core import calls, counters
 from tests import callnodes
 
@@ -283,7 +283,7 @@
         sender.send(
             HOST,
             port,
-            outbound.Outgoing(start_line, headers, b'', lambda: True, done),
+            connection.Outgoing(start_line, headers, b'', lambda: True, done),
         )
 
     return send
--- /dev/null
+++ b/shallotwharf/adapters/answers.py
@@ -0,0 +1,69 @@
+"""Answers to calls: as values, of the node itself, and on the wire."""
+
+import asyncio
+import json
+import typing
+from http import client
+
+from tornado import httputil
+
+from shallotwharf.adapters import headers
+from shallotwharf.core import calls
+
+_PHRASE_UNKNOWN: typing.Final = 'Unknown'
+# Larger bodies are written on their own, so that they are not copied.
+_COPY_LIMIT_BYTES: typing.Final = 16_384
+
+
+class Answer:
+    """A whole answer."""
+
+    __slots__ = ('status', 'phrase', 'headers', 'body')
+
+    def __init__(
+        self,
+        status: int,
+        phrase: str,
+        answer_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        self.status = status
+        self.phrase = phrase
+        self.headers = answer_headers
+        self.body = body
+
+
+def build_refusal(step: calls.Respond, *, forwarded: bool) -> Answer:
+    """Return the answer of a node that does not pass one on."""
+    body = json.dumps({'reason': step.reason, 'not_run': step.not_run})
+    refusal = httputil.HTTPHeaders()
+    refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
+    refusal[headers.CONTENT_LENGTH] = str(len(body))
+    if step.retry_after_s:
+        refusal[headers.RETRY_AFTER] = str(step.retry_after_s)
+    if forwarded:
+        refusal[headers.OUTCOME] = headers.write_outcome(step)
+    return Answer(
+        int(step.status),
+        find_phrase(step.status),
+        refusal,
+        body.encode(),
+    )
+
+
+def find_phrase(status: int) -> str:
+    """Return the reason phrase of a status."""
+    return client.responses.get(status, _PHRASE_UNKNOWN)
+
+
+def write_message(
+    transport: asyncio.Transport,
+    head: bytes,
+    body: bytes,
+) -> None:
+    """Write a message, in one piece unless its body is large."""
+    if len(body) <= _COPY_LIMIT_BYTES:
+        transport.write(head + body)
+        return
+    transport.write(head)
+    transport.write(body)
--- /dev/null
+++ b/shallotwharf/adapters/connection.py
@@ -0,0 +1,250 @@
+"""One persistent HTTP/1.1 connection to an upstream or another node.
+
+It carries one request at a time, so that an answer belongs to the request
+that was sent last; bytes that no request waits for close it.
+"""
+
+import abc
+import asyncio
+import typing
+from collections import abc as collections_abc
+
+from tornado import httputil
+
+from shallotwharf.adapters import answers, headers, wire
+from shallotwharf.core import calls, counters, logs
+
+REASON_CONNECT: typing.Final = 'connect_failed'
+REASON_EXPIRED: typing.Final = 'deadline_too_short'
+REASON_NO_ANSWER: typing.Final = 'closed_without_answer'
+REASON_INCOMPLETE: typing.Final = 'answer_incomplete'
+REASON_UNFRAMED: typing.Final = 'answer_without_length'
+REASON_TOO_LARGE: typing.Final = 'answer_too_large'
+REASON_MALFORMED: typing.Final = 'answer_malformed'
+
+Done: typing.TypeAlias = collections_abc.Callable[
+    [calls.Result, answers.Answer | None], None
+]
+
+
+class Outgoing:
+    """A request to send.
+
+    Attributes:
+        start_line: method and target.
+        headers: headers, complete but for what `prepare` sets.
+        body: the whole body.
+        prepare: called at the moment of sending; returns False if it is too
+            late to send.
+        done: called once with the result, unless it was cancelled.
+    """
+
+    __slots__ = ('start_line', 'headers', 'body', 'prepare', 'done')
+
+    def __init__(
+        self,
+        start_line: httputil.RequestStartLine,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+        prepare: collections_abc.Callable[[], bool],
+        done: Done,
+    ) -> None:
+        self.start_line = start_line
+        self.headers = request_headers
+        self.body = body
+        self.prepare = prepare
+        self.done = done
+
+
+class Owner(abc.ABC):
+    """Keeps the connections to one address.
+
+    Attributes:
+        counters: of the process.
+        max_answer_bytes: a longer answer fails.
+    """
+
+    __slots__ = ()
+
+    counters: counters.Counters
+    max_answer_bytes: int
+
+    @abc.abstractmethod
+    def add_idle(self, idle: 'Connection') -> None:
+        """Keep a connection for the next request."""
+
+    @abc.abstractmethod
+    def remove(self, ended: 'Connection') -> None:
+        """Forget a connection that ended."""
+
+
+class Connection(asyncio.Protocol, wire.Receiver):
+    """One connection and the request that it carries, if any."""
+
+    __slots__ = (
+        '_pool',
+        '_reader',
+        '_transport',
+        '_current',
+        '_sent',
+        '_answer',
+        '_fault',
+        '_closed',
+        '_last',
+        'idle_since',
+    )
+
+    def __init__(self, pool: Owner, first: Outgoing) -> None:
+        self._pool = pool
+        self._reader = wire.Reader(self)
+        self._transport: asyncio.Transport | None = None
+        self._current: Outgoing | None = first
+        self._sent = False
+        self._answer: answers.Answer | None = None
+        self._fault = ''
+        self._closed = False
+        self._last = False
+        self.idle_since: float = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the first request."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._pool.counters.add('outbound.connections')
+        if self._current is None:
+            self.close()
+        else:
+            self.send(self._current)
+
+    def send(self, outgoing: Outgoing) -> None:
+        """Send a request on an idle connection."""
+        self._current = outgoing
+        self._sent = False
+        self._answer = None
+        if not outgoing.prepare():
+            self.fail(REASON_EXPIRED)
+            return
+        self._sent = True
+        line = outgoing.start_line
+        answers.write_message(
+            typing.cast(asyncio.Transport, self._transport),
+            wire.build_head(
+                f'{line.method} {line.path} HTTP/1.1',
+                outgoing.headers,
+            ),
+            outgoing.body,
+        )
+
+    def cancel(self, outgoing: Outgoing) -> None:
+        """Close the connection if it still carries a request."""
+        if self._current is outgoing:
+            self._current = None
+            self.close()
+
+    def is_closed(self) -> bool:
+        """Tell whether the connection ended."""
+        return self._closed
+
+    def close(self) -> None:
+        """End the connection."""
+        self._closed = True
+        self._reader.stop()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def fail(self, fault: str) -> None:
+        """End the connection and the request that it carries."""
+        self._fault = self._fault or fault
+        self.close()
+        self._end(self._build_failure(), None)
+
+    def data_received(self, received: bytes) -> None:
+        """Take bytes of an answer."""
+        if self._current is None:
+            # Bytes that nobody waits for belong to no request.
+            self._pool.counters.add('outbound.unsolicited')
+            self.close()
+            return
+        try:
+            self._reader.feed(received)
+        except httputil.HTTPInputError:
+            self.fail(REASON_MALFORMED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report a request whose answer is not whole."""
+        self._closed = True
+        self._pool.remove(self)
+        self._end(self._build_failure(), None)
+
+    def receive_head(
+        self,
+        start_line: str,
+        answer_headers: httputil.HTTPHeaders,
+    ) -> int | None:
+        """Take the start of an answer; return the length of its body."""
+        line = httputil.parse_response_start_line(start_line)
+        self._answer = answers.Answer(
+            line.code, line.reason, answer_headers, b''
+        )
+        outgoing = typing.cast(Outgoing, self._current)
+        self._last = line.version != 'HTTP/1.1' or headers.asks_to_close(
+            answer_headers,
+        )
+        length = wire.find_body_length(answer_headers)
+        if headers.is_empty(line.code, outgoing.start_line.method):
+            return 0
+        if length == -1:
+            self.fail(REASON_UNFRAMED)
+            return 0
+        if length is not None and length > self._pool.max_answer_bytes:
+            self.fail(REASON_TOO_LARGE)
+            return 0
+        return length
+
+    def receive_size(self, size: int) -> bool:
+        """Take note of the length of the body so far."""
+        if size > self._pool.max_answer_bytes:
+            self.fail(REASON_TOO_LARGE)
+        return not self._closed
+
+    def receive_end(self, body: bytes) -> None:
+        """Hand over the answer, which is whole, and wait for the next."""
+        answer = typing.cast(answers.Answer, self._answer)
+        if headers.is_informational(answer.status):
+            self._answer = None
+            self._reader.resume()
+            return
+        answer.body = body
+        self._end(
+            calls.Result(calls.OUTCOME_ANSWERED, '', answer.status),
+            answer,
+        )
+        if self._last or self._reader.count_waiting():
+            self.close()
+        elif not self._closed:
+            self._reader.resume()
+            self._pool.add_idle(self)
+
+    def _build_failure(self) -> calls.Result:
+        if self._fault == REASON_EXPIRED:
+            return calls.Result(calls.OUTCOME_REFUSED, REASON_EXPIRED)
+        if not self._sent:
+            return calls.Result(
+                calls.OUTCOME_UNREACHED,
+                self._fault or REASON_CONNECT,
+            )
+        reason = REASON_NO_ANSWER
+        if self._answer is not None:
+            reason = REASON_INCOMPLETE
+        return calls.Result(calls.OUTCOME_CLOSED, self._fault or reason)
+
+    def _end(self, ended: calls.Result, answer: answers.Answer | None) -> None:
+        outgoing = self._current
+        if outgoing is None:
+            return
+        self._current = None
+        try:
+            outgoing.done(ended, answer)
+        except Exception as error:
+            # One call's fault must not end the connection's reader.
+            self._pool.counters.add('outbound.faults')
+            logs.warn('call_failed', error=repr(error))
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -1,64 +1,19 @@
 """One request of a caller and its answer: carries out the steps of a plan."""
 
-import abc
 import asyncio
-import json
 import types
 import typing
-from http import client
+from collections import abc as collections_abc
 
 from tornado import httputil
 
-from shallotwharf.adapters import headers, outbound, waiting
-from shallotwharf.core import callports, calls, clock, counters
-
-_PHRASE_UNKNOWN: typing.Final = 'Unknown'
-
-
-class Services:
-    """What all exchanges of a node share."""
-
-    __slots__ = (
-        'clock',
-        'conductor',
-        'gate',
-        'guard',
-        'waiting',
-        'outbound',
-        'counters',
-        'loop',
-        'active',
-    )
-
-    def __init__(
-        self,
-        process_clock: clock.Clock,
-        conductor: callports.Conductor,
-        gate: callports.Gate,
-        guard: callports.OnceGuard,
-        waiting_requests: waiting.WaitingRequests,
-        sender: outbound.Outbound,
-        process_counters: counters.Counters,
-    ) -> None:
-        self.clock = process_clock
-        self.conductor = conductor
-        self.gate = gate
-        self.guard = guard
-        self.waiting = waiting_requests
-        self.outbound = sender
-        self.counters = process_counters
-        self.loop = asyncio.get_running_loop()
-        self.active = 0
-
-
-class Responder(abc.ABC):
-    """Where an exchange writes its answer."""
-
-    __slots__ = ()
-
-    @abc.abstractmethod
-    def respond(self, answer: outbound.Answer) -> None:
-        """Write the answer; ignore it if the caller went away."""
+from shallotwharf.adapters import (
+    answers,
+    connection,
+    headers,
+    services,
+)
+from shallotwharf.core import calls, clock
 
 
 class Exchange:
@@ -82,22 +37,22 @@
 
     def __init__(
         self,
-        services: Services,
-        responder: Responder,
+        shared: services.Services,
+        responder: services.Responder,
         start_line: httputil.RequestStartLine,
         request_headers: httputil.HTTPHeaders,
         body: bytes,
     ) -> None:
-        self._services = services
+        self._services = shared
         self._responder = responder
         self._start_line = start_line
         self._headers = request_headers
         self._request = headers.read_request(start_line, request_headers, body)
-        self._plan = services.conductor.plan(self._request)
+        self._plan = shared.conductor.plan(self._request)
         self._step: calls.Enter | calls.Forward | None = None
-        self._answer: outbound.Answer | None = None
-        self._outgoing: outbound.Outgoing | None = None
-        self._carrier: outbound.Connection | None = None
+        self._answer: answers.Answer | None = None
+        self._outgoing: connection.Outgoing | None = None
+        self._carrier: connection.Connection | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._guarded = False
         self._open = True
@@ -131,7 +86,8 @@
     def _enter(self, step: calls.Enter) -> None:
         now = self._services.clock.read()
         self._step = step
-        self._set_timer(step.deadline_at, now)
+        self._outgoing = None
+        self._set_timer(step.deadline_at, now, self._expire)
         self._apply_admission(
             self._services.gate.enter(step, self._request, now),
         )
@@ -139,6 +95,7 @@
     def _apply_admission(self, admission: typing.Any) -> None:
         step = typing.cast(calls.Enter, self._step)
         if isinstance(admission, calls.Admitted):
+            headers.strip_own_headers(self._headers)
             self._send(admission.host, admission.port, self._end_entered)
         elif isinstance(admission, calls.Refused):
             self._resume(
@@ -149,12 +106,13 @@
 
     def _forward(self, step: calls.Forward) -> None:
         self._step = step
-        self._set_timer(step.deadline_at, self._services.clock.read())
+        now = self._services.clock.read()
+        self._set_timer(step.deadline_at, now, self._expire)
         self._headers[headers.FORWARDED] = step.forwarded
         self._send(step.host, step.port, self._end_forwarded)
 
-    def _send(self, host: str, port: int, done: outbound.Done) -> None:
-        self._outgoing = outbound.Outgoing(
+    def _send(self, host: str, port: int, done: connection.Done) -> None:
+        self._outgoing = connection.Outgoing(
             self._start_line,
             self._headers,
             self._request.body,
@@ -190,7 +148,7 @@
     def _end_entered(
         self,
         ended: calls.Result,
-        answer: outbound.Answer | None,
+        answer: answers.Answer | None,
     ) -> None:
         step = typing.cast(calls.Enter, self._step)
         now = self._services.clock.read()
@@ -203,7 +161,7 @@
     def _end_forwarded(
         self,
         ended: calls.Result,
-        answer: outbound.Answer | None,
+        answer: answers.Answer | None,
     ) -> None:
         step = typing.cast(calls.Forward, self._step)
         if answer is not None:
@@ -219,17 +177,28 @@
         self._answer = answer
         self._resume(ended)
 
-    def _ask_guard(self, _step: calls.Guard) -> None:
+    def _ask_guard(self, step: calls.Guard) -> None:
+        now = self._services.clock.read()
+        self._set_timer(step.deadline_at, now, self._expire_guard)
         self._services.guard.begin(self._request, self._apply_guard)
 
     def _apply_guard(self, reply: calls.GuardReply) -> None:
+        granted = isinstance(reply, calls.Granted)
         if self._open:
-            self._guarded = isinstance(reply, calls.Granted)
+            self._guarded = granted
             now = self._services.clock.read()
             self._run(self._plan.apply_guard(reply, now))
+        elif granted:
+            # Nobody waits any more; the key must not stay claimed.
+            self._services.guard.finish(self._request, None, not_run=True)
+
+    def _expire_guard(self) -> None:
+        now = self._services.clock.read()
+        late = calls.Denied('guard_late', not_run=False)
+        self._run(self._plan.apply_guard(late, now))
 
     def _relay(self, _step: calls.Relay) -> None:
-        answer = typing.cast(outbound.Answer, self._answer)
+        answer = typing.cast(answers.Answer, self._answer)
         headers.strip_hop_headers(answer.headers)
         empty = headers.is_empty(answer.status, self._start_line.method)
         if not empty:
@@ -247,7 +216,7 @@
     def _respond(self, step: calls.Respond) -> None:
         if self._guarded:
             self._services.guard.finish(self._request, None, step.not_run)
-        self._write(build_refusal(step, forwarded=self._is_forwarded()))
+        self._write(answers.build_refusal(step, forwarded=self._is_forwarded()))
 
     def _replay(self, step: calls.Replay) -> None:
         replayed = httputil.HTTPHeaders()
@@ -255,15 +224,15 @@
         if step.content_type:
             replayed[headers.CONTENT_TYPE] = step.content_type
         self._write(
-            outbound.Answer(
+            answers.Answer(
                 step.status,
-                find_phrase(step.status),
+                answers.find_phrase(step.status),
                 replayed,
                 step.body,
             ),
         )
 
-    def _write(self, answer: outbound.Answer) -> None:
+    def _write(self, answer: answers.Answer) -> None:
         self._close()
         if self._is_forwarded():
             answer.headers[headers.ATTEMPT] = self._request.attempt
@@ -272,16 +241,27 @@
     def _is_forwarded(self) -> bool:
         return bool(self._request.forwarded)
 
-    def _set_timer(self, deadline_at: int, now: int) -> None:
+    def _set_timer(
+        self,
+        deadline_at: int,
+        now: int,
+        expire: collections_abc.Callable[[], None],
+    ) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._services.loop.call_later(
             (deadline_at - now) / clock.SECOND_MS,
-            self._expire,
+            expire,
         )
 
     def _expire(self) -> None:
         ended = calls.Result(calls.OUTCOME_LATE, 'deadline_passed')
+        if self._outgoing is None:
+            # It waited at the gate and was never sent.
+            ended = calls.Result(
+                calls.OUTCOME_REFUSED,
+                connection.REASON_EXPIRED,
+            )
         self._stop_attempt(ended, self._services.clock.read())
         self._resume(ended)
 
@@ -295,33 +275,13 @@
     def _close(self) -> None:
         self._open = False
         self._services.active -= 1
+        # Breaks reference cycles, so that no collector has to.
+        self._outgoing = None
+        self._carrier = None
         if self._timer is not None:
             self._timer.cancel()
 
 
-def build_refusal(step: calls.Respond, *, forwarded: bool) -> outbound.Answer:
-    """Return the answer of a node that does not pass one on."""
-    body = json.dumps({'reason': step.reason, 'not_run': step.not_run})
-    refusal = httputil.HTTPHeaders()
-    refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
-    refusal[headers.CONTENT_LENGTH] = str(len(body))
-    if step.retry_after_s:
-        refusal[headers.RETRY_AFTER] = str(step.retry_after_s)
-    if forwarded:
-        refusal[headers.OUTCOME] = headers.write_outcome(step)
-    return outbound.Answer(
-        int(step.status),
-        find_phrase(step.status),
-        refusal,
-        body.encode(),
-    )
-
-
-def find_phrase(status: int) -> str:
-    """Return the reason phrase of a status."""
-    return client.responses.get(status, _PHRASE_UNKNOWN)
-
-
 # How the exchange carries out each step.
 _STEPS: typing.Final[typing.Any] = types.MappingProxyType(
     {
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -7,7 +7,7 @@
 
 from tornado import httputil
 
-from shallotwharf.adapters import exchange, headers, outbound, wire
+from shallotwharf.adapters import answers, exchange, headers, services, wire
 from shallotwharf.core import calls, errors
 
 DEFAULT_MAX_BODY_BYTES: typing.Final = 4_194_304
@@ -56,16 +56,16 @@
 
     def __init__(
         self,
-        services: exchange.Services,
+        shared: services.Services,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
     ) -> None:
         """Create a server; it does not listen yet.
 
         Args:
-            services: shared by all exchanges.
+            shared: by all exchanges.
             max_body_bytes: a longer request is answered with 413.
         """
-        self.services = services
+        self.services = shared
         self.max_body_bytes = max_body_bytes
         self.closing = False
         self._connections: set[CallConnection] = set()
@@ -118,7 +118,7 @@
         self._connections.discard(connection)
 
 
-class CallConnection(asyncio.Protocol, wire.Receiver, exchange.Responder):
+class CallConnection(asyncio.Protocol, wire.Receiver, services.Responder):
     """One connection: one request at a time, others wait their turn."""
 
     __slots__ = (
@@ -213,7 +213,7 @@
         self._exchange = started
         started.start()
 
-    def respond(self, answer: outbound.Answer) -> None:
+    def respond(self, answer: answers.Answer) -> None:
         """Write the answer of the exchange; then read the next request."""
         transport = self._find_transport()
         if transport.is_closing():
@@ -222,7 +222,7 @@
         if last:
             answer.headers[headers.CONNECTION] = headers.CLOSE
         empty = headers.is_empty(answer.status, self._start_line.method)
-        outbound.write_message(
+        answers.write_message(
             transport,
             wire.build_head(
                 f'HTTP/1.1 {answer.status} {answer.phrase}',
@@ -270,7 +270,7 @@
         self._reader.stop()
         self._last = True
         self._lingering = True
-        self.respond(exchange.build_refusal(step, forwarded=False))
+        self.respond(answers.build_refusal(step, forwarded=False))
 
     def _linger(self) -> None:
         transport = self._find_transport()
--- /dev/null
+++ b/shallotwharf/adapters/services.py
@@ -0,0 +1,53 @@
+"""What all exchanges of a node share, and what each answers to."""
+
+import abc
+import asyncio
+
+from shallotwharf.adapters import answers, outbound, waiting
+from shallotwharf.core import callports, clock, counters
+
+
+class Services:
+    """What all exchanges of a node share."""
+
+    __slots__ = (
+        'clock',
+        'conductor',
+        'gate',
+        'guard',
+        'waiting',
+        'outbound',
+        'counters',
+        'loop',
+        'active',
+    )
+
+    def __init__(
+        self,
+        process_clock: clock.Clock,
+        conductor: callports.Conductor,
+        gate: callports.Gate,
+        guard: callports.OnceGuard,
+        waiting_requests: waiting.WaitingRequests,
+        sender: outbound.Outbound,
+        process_counters: counters.Counters,
+    ) -> None:
+        self.clock = process_clock
+        self.conductor = conductor
+        self.gate = gate
+        self.guard = guard
+        self.waiting = waiting_requests
+        self.outbound = sender
+        self.counters = process_counters
+        self.loop = asyncio.get_running_loop()
+        self.active = 0
+
+
+class Responder(abc.ABC):
+    """Where an exchange writes its answer."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def respond(self, answer: answers.Answer) -> None:
+        """Write the answer; ignore it if the caller went away."""
--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -5,6 +5,7 @@
 
 from shallotwharf.components.call import (
     budget,
+    context,
     explain,
     fences,
     forwarded,
@@ -19,7 +20,7 @@
 from shallotwharf.core import callports, calls, direct, effects
 
 
-class Caller(direct.DirectAggregate, callports.Conductor, plan.Context):
+class Caller(direct.DirectAggregate, callports.Conductor, context.Context):
     """Makes the plan of each call."""
 
     __slots__ = (
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -1,6 +1,7 @@
 """Reasons, counters and limits of the path of a call."""
 
 import sys
+import types
 import typing
 
 REASON_NO_VERSION: typing.Final = 'no_version'
@@ -48,6 +49,16 @@
 # suspect its node; one that refused for lack of slots for about a run time.
 AVOID_UNREACHED_MS: typing.Final = 1000
 AVOID_REFUSED_MS: typing.Final = 20
+# These reasons last longer: until the announcement arrives, or until the gate
+# tries the upstream again.
+AVOID_MS: typing.Final = types.MappingProxyType(
+    {
+        'draining': AVOID_UNREACHED_MS,
+        REASON_NO_UPSTREAM: AVOID_UNREACHED_MS,
+        'wrong_upstream': AVOID_UNREACHED_MS,
+        REASON_UNHEALTHY: 200,
+    },
+)
 
 STATUS_BAD_REQUEST: typing.Final = 400
 STATUS_NOT_FOUND: typing.Final = 404
--- /dev/null
+++ b/shallotwharf/components/call/context.py
@@ -0,0 +1,34 @@
+"""What a plan needs of the aggregate that made it."""
+
+import abc
+import random
+
+from shallotwharf.components.call import index, targets
+from shallotwharf.core import callports
+
+
+class Context(abc.ABC):
+    """What a plan needs of the aggregate that made it."""
+
+    __slots__ = ()
+
+    own_node: str
+    directory: targets.Directory
+    random: random.Random
+    observer: callports.Observer
+
+    @abc.abstractmethod
+    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
+        """Return the route of a request in the current version."""
+
+    @abc.abstractmethod
+    def has_version(self) -> bool:
+        """Tell whether a version was applied."""
+
+    @abc.abstractmethod
+    def make_call_id(self) -> str:
+        """Return a new id."""
+
+    @abc.abstractmethod
+    def count(self, name: str) -> None:
+        """Add to a counter."""
--- a/shallotwharf/components/call/forwarded.py
+++ b/shallotwharf/components/call/forwarded.py
@@ -3,7 +3,8 @@
 from shallotwharf.components.call import const, rules
 from shallotwharf.core import callports, calls
 
-_PART_COUNT = 4
+# Rank, service, version and start limit, of which two are numbers.
+_PART_COUNT = 6
 
 
 class ForwardedPlan(callports.Plan):
@@ -19,7 +20,7 @@
         request = self._request
         parts = request.forwarded.split(' ')
         numbers = [part for part in parts[::3] if part.isdecimal()]
-        if len(parts) != _PART_COUNT or len(numbers) != 2:
+        if not request.attempt or len(parts) + len(numbers) != _PART_COUNT:
             return calls.Respond(
                 const.STATUS_BAD_REQUEST,
                 const.REASON_FORWARDED,
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -1,12 +1,11 @@
 """The decisions of one call at the node that chooses the upstream."""
 
-import abc
-import random
 import uuid
 
 from shallotwharf.components.call import (
     chooser,
     const,
+    context,
     index,
     rules,
     targets,
@@ -16,33 +15,6 @@
 _KEY_VERSION = 7
 
 
-class Context(abc.ABC):
-    """What a plan needs of the aggregate that made it."""
-
-    __slots__ = ()
-
-    own_node: str
-    directory: targets.Directory
-    random: random.Random
-    observer: callports.Observer
-
-    @abc.abstractmethod
-    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
-        """Return the route of a request in the current version."""
-
-    @abc.abstractmethod
-    def has_version(self) -> bool:
-        """Tell whether a version was applied."""
-
-    @abc.abstractmethod
-    def make_call_id(self) -> str:
-        """Return a new id."""
-
-    @abc.abstractmethod
-    def count(self, name: str) -> None:
-        """Add to a counter."""
-
-
 class CallPlan(callports.Plan):
     """Match, choose, send and retry.
 
@@ -66,8 +38,10 @@
         '_guarded',
     )
 
-    def __init__(self, context: Context, request: calls.Request) -> None:
-        self._context = context
+    def __init__(
+        self, call_context: context.Context, request: calls.Request
+    ) -> None:
+        self._context = call_context
         self._request = request
         self._entry: index.RouteEntry | None = None
         self._call_id = ''
@@ -99,7 +73,7 @@
             return self._choose(now)
         if not _is_key(request.key):
             return self._respond(const.STATUS_BAD_REQUEST, const.REASON_KEY)
-        return calls.Guard()
+        return calls.Guard(self._deadline_at)
 
     def apply_guard(self, reply: calls.GuardReply, now: int) -> calls.Step:
         """Run a granted call, otherwise answer what the guard says."""
@@ -153,7 +127,10 @@
         if result.outcome == calls.OUTCOME_UNREACHED:
             target.avoid_until = now + const.AVOID_UNREACHED_MS
         elif result.outcome == calls.OUTCOME_REFUSED:
-            target.avoid_until = now + const.AVOID_REFUSED_MS
+            target.avoid_until = now + const.AVOID_MS.get(
+                result.reason,
+                const.AVOID_REFUSED_MS,
+            )
         return target
 
     def _observe(
@@ -197,17 +174,15 @@
         return ''
 
     def _choose(self, now: int) -> calls.Step:
-        context = self._context
+        known = self._context
         pool = self._read_entry().pool
-        version = chooser.choose_version(
-            pool, context.directory, context.random
-        )
+        version = chooser.choose_version(pool, known.directory, known.random)
         target = None
         if version is not None:
             target = chooser.choose_target(
-                context.directory.find_groups(pool.row.service, version),
+                known.directory.find_groups(pool.row.service, version),
                 self._tried,
-                context.random,
+                known.random,
                 now,
             )
         if version is None or target is None:
--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -12,6 +12,8 @@
 # The caller's node acted on an announcement that is out of date.
 REASON_NO_UPSTREAM: typing.Final = 'no_upstream'
 REASON_WRONG_UPSTREAM: typing.Final = 'wrong_upstream'
+# Two attempts with one id would share a slot.
+REASON_DUPLICATE: typing.Final = 'duplicate_attempt'
 
 COUNTER_REFUSED: typing.Final = 'upstream.refused.'
 COUNTER_QUEUED: typing.Final = 'upstream.queued'
--- a/shallotwharf/components/upstream/evidence.py
+++ b/shallotwharf/components/upstream/evidence.py
@@ -81,5 +81,7 @@
         calls.OUTCOME_UNREACHED: 'end_unreached',
         calls.OUTCOME_LATE: 'end_late',
         calls.OUTCOME_CANCELLED: 'end_abandoned',
+        # It was admitted, but too late to be sent.
+        calls.OUTCOME_REFUSED: 'end_abandoned',
     },
 )
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -171,6 +171,10 @@
         mismatch = self._offer.find_refusal(step)
         if mismatch:
             return mismatch
+        if step.attempt in self._evidence.running or (
+            self._queue and step.attempt in self._queue
+        ):
+            return const.REASON_DUPLICATE
         if not self._poison.is_empty() and self._poison.refuses(
             request.compute_digest(),
             now,
--- a/shallotwharf/components/upstream/queue.py
+++ b/shallotwharf/components/upstream/queue.py
@@ -46,6 +46,13 @@
     def __len__(self) -> int:
         return self._length
 
+    def __contains__(self, attempt: str) -> bool:
+        return any(
+            entry.step.attempt == attempt
+            for waiting in self._ranks.values()
+            for entry in waiting
+        )
+
     def push(self, entry: Entry) -> Entry | None:
         """Add an entry; return the one that has no place, if any.
 
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -196,9 +196,16 @@
 
 
 class Guard(Step):
-    """Ask the guard of once-only calls whether the call may run."""
+    """Ask the guard of once-only calls whether the call may run.
 
-    __slots__ = ()
+    Attributes:
+        deadline_at: when its reply is late, in clock milliseconds.
+    """
+
+    __slots__ = ('deadline_at',)
+
+    def __init__(self, deadline_at: int) -> None:
+        self.deadline_at = deadline_at
 
 
 class Relay(Step):
--- a/shallotwharf/roles/callpath.py
+++ b/shallotwharf/roles/callpath.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from shallotwharf.adapters import exchange, outbound, waiting
+from shallotwharf.adapters import outbound, services, waiting
 from shallotwharf.components.call import caller
 from shallotwharf.components.once import messages as once
 from shallotwharf.components.upstream import gate
@@ -236,13 +236,13 @@
     waiting_requests: waiting.WaitingRequests,
     process_clock: clock.Clock,
     process_counters: counters.Counters,
-) -> exchange.Services:
+) -> services.Services:
     """Return what the server for calls needs; call it on the loop.
 
     `waiting_requests` must be the dispatcher's `requests`, and the caller
     and the gate must be started by the dispatcher.
     """
-    return exchange.Services(
+    return services.Services(
         process_clock,
         WiredConductor(
             node_caller,
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -337,6 +337,32 @@
     assert refused and all(not_run for _, _, not_run in refused)
 
 
+@on_loop
+async def test_attempt_that_waited_too_long_did_not_run():
+    nodes, raw = await async_build(lambda _: asyncio.sleep(0.2, OK), slots=1)
+    first = asyncio.ensure_future(async_call(nodes[0]))
+    await asyncio.sleep(0.02)
+    got = await async_call(nodes[0], 'GET', '/', 'Shallotwharf-Deadline-Ms: 20')
+    assert read_refusal(got) == (503, 'deadline_too_short', True)
+    assert await first == (200, b'ok') and len(raw.requests) == 1
+
+
+@on_loop
+async def test_retry_at_the_own_gate_does_not_keep_the_forwarded_header():
+    nodes, raw = await async_build(OK)
+    mesh = nodes[0].mesh
+    other = await callnodes.Node('n9', mesh).async_listen()
+    other.announce(callnodes.find_port())
+    await asyncio.sleep(0.01)
+    for _ in range(10):
+        assert await async_call(nodes[0], 'POST', '/cut', body='x') == (
+            200,
+            b'ok',
+        )
+    assert nodes[0].counters.read('call.retried.connect_failed') > 0
+    assert not any(b'Forwarded' in request for request in raw.requests)
+
+
 @on_loop
 async def test_unreached_upstream_did_not_run_the_call():
     nodes, raw = await async_build(OK, 2)
@@ -412,6 +438,24 @@
     assert len(raw.requests) == 1
 
 
+@on_loop
+async def test_late_grant_is_given_back():
+    coordinator = Coordinator(grant)
+    coordinator.begin = lambda message, sender, now: (
+        waiting.append(message) or []
+    )
+    waiting = []
+    node = callnodes.Node('n0', callnodes.Mesh(), aggregates=(coordinator,))
+    await node.async_listen()
+    deadline = 'Shallotwharf-Deadline-Ms: 30'
+    got = await async_call(node, 'POST', '/book', KEY, deadline, body='x')
+    assert read_refusal(got) == (503, 'guard_late', False)
+    node.services.waiting.answer(waiting[0].request, grant(0))
+    assert [row.outcome for row in coordinator.finished] == [
+        once.OUTCOME_NOT_RUN
+    ]
+
+
 @pytest.mark.parametrize(
     ('reply', 'expected'),
     [
--- a/tests/components/upstream/test_gate.py
+++ b/tests/components/upstream/test_gate.py
@@ -233,6 +233,8 @@
     assert enter(make_gate(), 'a') == calls.Refused('no_upstream')
     served = start_gate(poison_list=None)
     assert enter(served, 'a', version='v2') == calls.Refused('wrong_upstream')
+    enter(served, 'x')
+    assert enter(served, 'x') == calls.Refused(const.REASON_DUPLICATE)
     assert enter(served, 'a', now=5, deadline_at=5) == calls.Refused(
         const.REASON_DEADLINE
     )
