Exchange membership between data centres and prove it under faults

Cause: announcements and fences have to reach all data centres, also while control is down, and a cut-off data centre must be told from a live one.

Change: two of the three relays subscribe to each other data centre and renew every 2 s; urgent changes follow at once, loads at most every 30 s. Messages for all nodes are passed on whoever sent them. `Directory` at control names relays to data centres that do not hear of each other, members to nodes that start, and publishes live nodes. A node no longer suspects itself when it merges a suspicion that it refutes, which declared it dead 5 s later; the size of a queued entry is estimated once. Departed members are asked as well, since a node that returns may find no seed.

--- a/shallotwharf/components/membership/const.py
+++ b/shallotwharf/components/membership/const.py
@@ -33,6 +33,8 @@
 # Upper bound of piggybacked gossip: four messages a second of this size are
 # 3 KB/s, well below the 10 KB/s that a node may use for control.
 GOSSIP_BYTES: typing.Final = 750
+# No more entries than this fit, since the smallest ones have 20 bytes.
+GOSSIP_ENTRIES: typing.Final = 40
 # Transmissions of an entry are this factor times log2 of the members, as in
 # the SWIM paper; load is advisory and replaced soon, so it gets fewer.
 GOSSIP_FACTOR: typing.Final = 2
@@ -53,13 +55,30 @@
 SYNC_PERIOD_MS: typing.Final = 15_000
 # Seeds and dead members that may have returned are tried this often.
 JOIN_PERIOD_MS: typing.Final = 2000
-JOIN_TARGETS: typing.Final = 5
+JOIN_TARGETS: typing.Final = 2
+FIRST_JOIN_TARGETS: typing.Final = 5
 # Members whose entries travel in one snapshot message: about 30 KB.
 SNAPSHOT_MEMBERS: typing.Final = 150
 TOMBSTONE_MS: typing.Final = 3_600_000
 
 # Another data centre that was not heard of for this long is cut off.
-STALE_MS: typing.Final = 15_000
+STALE_MS: typing.Final = 30_000
+BEAT_PERIOD_MS: typing.Final = 5000
+EXCHANGE_PERIOD_MS: typing.Final = 2000
+# A subscriber that did not renew for this long gets no more changes.
+SUBSCRIPTION_MS: typing.Final = 3 * EXCHANGE_PERIOD_MS
+# Renewals without an answer after which another node is asked.
+MAX_UNANSWERED: typing.Final = 2
+SUBSCRIBING_RELAYS: typing.Final = 2
+# Entries of one message between data centres: about 20 KB.
+CHANGES_ENTRIES: typing.Final = 200
+REMOTE_LOAD_PERIOD_MS: typing.Final = 30_000
+FOUND_MEMBERS: typing.Final = 6
+MAX_SEEKERS: typing.Final = 200
+REPORT_PERIOD_MS: typing.Final = 5000
+# Nodes of a data centre whose relays are silent for this long do not count as
+# live at control.
+REPORT_LIFETIME_MS: typing.Final = 60_000
 
 RELAYS: typing.Final = 3
 RELAY_KEY: typing.Final = 'relay'
--- /dev/null
+++ b/shallotwharf/components/membership/directory.py
@@ -0,0 +1,145 @@
+"""Meeting point of data centres at a control process.
+
+It is not needed once two data centres hear of each other: from then on each
+knows the members, and so the relays, of the other one.
+"""
+
+import typing
+
+from shallotwharf.components.membership import (
+    const,
+    messages,
+    relays,
+    reporter,
+    wire,
+)
+from shallotwharf.core import aggregate, effects, rendezvous
+from shallotwharf.core import messages as core_messages
+
+Effects: typing.TypeAlias = list[effects.Effect]
+
+_TICK: typing.Final = 'tick'
+
+
+class _Datacentre:
+    """Members that the first relay reported, and nodes that look for one."""
+
+    __slots__ = ('members', 'reported_at', 'seekers')
+
+    def __init__(self) -> None:
+        self.members: tuple[messages.Member, ...] = ()
+        self.reported_at: int | None = None
+        self.seekers: dict[str, messages.Member] = {}
+
+    def is_reported(self, now: int) -> bool:
+        """Return whether the report still stands."""
+        return (
+            self.reported_at is not None
+            and now - self.reported_at <= const.REPORT_LIFETIME_MS
+        )
+
+    def find_relays(self) -> list[messages.Member]:
+        """Return the first relays, or nodes that look for members."""
+        members = {member.name: member for member in self.members}
+        if not members:
+            members = self.seekers
+        ranked = rendezvous.rank_members(const.RELAY_KEY, members)
+        return [members[name] for name in ranked[: const.RELAYS]]
+
+
+class Directory(aggregate.Aggregate):
+    """Learns live nodes from relays and names them to those that ask."""
+
+    name = 'directory'
+    handlers = {
+        core_messages.TimerFired: 'expire',
+        relays.DatacentreReport: 'accept_report',
+        wire.Sync: 'answer_seeker',
+    }
+
+    __slots__ = ('_datacentres', '_published')
+
+    def __init__(self) -> None:
+        self._datacentres: dict[str, _Datacentre] = {}
+        self._published: tuple[messages.Member, ...] = ()
+
+    def start(self, now: int) -> Effects:
+        """Begin to look for reports that ceased."""
+        return [effects.SetTimer(_TICK, now + const.REPORT_PERIOD_MS)]
+
+    def accept_report(
+        self,
+        message: relays.DatacentreReport,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Note live members; name relays of data centres it lacks."""
+        reported = self._find(message.datacentre)
+        reported.reported_at = now
+        if message.members:
+            reported.members = message.members
+            reported.seekers.clear()
+        wanted = message.digest != reporter.compute_digest(reported.members)
+        named = [
+            relay
+            for name, other in sorted(self._datacentres.items())
+            if name != message.datacentre and name not in message.heard
+            for relay in other.find_relays()
+        ]
+        step = self._publish(now)
+        if named or wanted:
+            answer = relays.DirectoryAnswer(tuple(named), wanted)
+            step.append(effects.Send(sender, answer))
+        return step
+
+    def answer_seeker(
+        self,
+        message: wire.Sync,
+        sender: str,
+        _now: int,
+    ) -> Effects:
+        """Name members of a node's data centre, and remember the node."""
+        member = message.state.member
+        sought = self._find(member.datacentre)
+        named = [
+            *sought.find_relays(),
+            *list(sought.seekers.values())[-const.FOUND_MEMBERS :],
+        ]
+        sought.seekers.pop(member.name, None)
+        sought.seekers[member.name] = member
+        while len(sought.seekers) > const.MAX_SEEKERS:
+            sought.seekers.pop(next(iter(sought.seekers)))
+        answer = relays.DirectoryAnswer(
+            tuple(other for other in named if other.name != member.name),
+            wanted=False,
+        )
+        return [effects.Send(sender, answer)] if answer.members else []
+
+    def expire(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Publish the live nodes without data centres that fell silent."""
+        tick_at = now + const.REPORT_PERIOD_MS
+        return [*self._publish(now), effects.SetTimer(_TICK, tick_at)]
+
+    def _find(self, name: str) -> _Datacentre:
+        found = self._datacentres.get(name)
+        if found is None:
+            found = _Datacentre()
+            self._datacentres[name] = found
+        return found
+
+    def _publish(self, now: int) -> Effects:
+        live = tuple(
+            member
+            for _, datacentre in sorted(self._datacentres.items())
+            if datacentre.is_reported(now)
+            for member in datacentre.members
+        )
+        if live == self._published:
+            return []
+        self._published = live
+        return [effects.Publish(messages.LiveNodes(live))]
--- a/shallotwharf/components/membership/entries.py
+++ b/shallotwharf/components/membership/entries.py
@@ -2,6 +2,7 @@
 
 import random
 import typing
+from collections import abc
 
 from shallotwharf.components.membership import (
     alarms,
@@ -18,6 +19,12 @@
 Effects: typing.TypeAlias = list[effects.Effect]
 
 
+Watch: typing.TypeAlias = abc.Callable[
+    [list[knowledge.Key], int],
+    Effects,
+]
+
+
 class Entries:
     """The knowledge of a node and what still has to be told about it.
 
@@ -44,6 +51,7 @@
         '_pushed_at',
         '_published_at',
         '_published',
+        '_watch',
     )
 
     def __init__(
@@ -63,6 +71,17 @@
         self._pushed_at: int | None = None
         self._published_at: int | None = None
         self._published = messages.AnnouncementsChanged(())
+        self._watch: Watch | None = None
+
+    def watch(self, watch: Watch) -> None:
+        """Set the function that gets the keys of all news and the time."""
+        self._watch = watch
+
+    def is_stale_changed(self, now: int) -> bool:
+        """Return whether the age of a data centre has to be published."""
+        datacentre = self.own.state.member.datacentre
+        stale = self.known.list_stale(datacentre, now)
+        return stale != self._published.stale_datacentres
 
     def merge(self, batch: wire.Batch, now: int) -> Effects:
         """Apply entries and return what follows from those that are news."""
@@ -76,15 +95,17 @@
         step: Effects = []
         kinds = {kind for kind, _ in changed}
         if const.KIND_STATE in kinds:
-            self._watch_suspects(changed, now)
             changed.extend(self._refute(now))
+            self._watch_suspects(changed, now)
             step.extend(self._set_suspicion_timer(now))
             step.extend(self._find_peers(before))
             step.extend(self._publish_members())
         step.extend(self._publish_spreads(changed, now))
         for key in changed:
-            self._gossip.add(key, len(self.live))
+            self._gossip.add(key, len(self.live), now)
         step.extend(self._schedule(changed, now))
+        if self._watch is not None:
+            step.extend(self._watch(changed, now))
         return step
 
     def enter_own_state(self, now: int) -> Effects:
@@ -100,7 +121,7 @@
         candidates = [name for name in self.others if name != but]
         return self._random.sample(candidates, min(count, len(candidates)))
 
-    def push(self, now: int) -> Effects:
+    def push(self, now: int, _late_ms: int) -> Effects:
         """Send urgent entries to random members."""
         self._pushed_at = now
         batch = self._gossip.take(now, urgent_only=True)
@@ -115,7 +136,7 @@
             step.extend(self.alarms.hasten('push', at))
         return step
 
-    def publish(self, now: int) -> Effects:
+    def publish(self, now: int, _late_ms: int) -> Effects:
         """Publish the announcements if they or their age changed."""
         self._published_at = now
         current = messages.AnnouncementsChanged(
--- /dev/null
+++ b/shallotwharf/components/membership/exchange.py
@@ -0,0 +1,229 @@
+"""Exchange with other data centres.
+
+Two of the three relays subscribe to each other data centre, so that the loss
+of one delays nothing. Any node can be subscribed to; its relays are asked
+first. The subscriber renews, which tells what it has; urgent changes are sent
+to subscribers at once.
+"""
+
+import random
+import typing
+from collections import abc
+
+from shallotwharf.components.membership import (
+    changelog,
+    const,
+    entries,
+    messages,
+    relays,
+    wire,
+)
+from shallotwharf.core import effects, rendezvous
+
+Effects: typing.TypeAlias = list[effects.Effect]
+
+
+class _Session:
+    """Subscription to a data centre at one of its nodes."""
+
+    __slots__ = ('server', 'log', 'after', 'unanswered')
+
+    def __init__(self, server: str) -> None:
+        self.server = server
+        self.log = 0
+        self.after = 0
+        self.unanswered = 0
+
+
+class _Subscriber:
+    __slots__ = ('log', 'after', 'renewed_at')
+
+    def __init__(self, log: int, after: int, renewed_at: int) -> None:
+        self.log = log
+        self.after = after
+        self.renewed_at = renewed_at
+
+
+class Exchange:
+    """Subscriptions to other data centres and of other data centres.
+
+    Args:
+        known_entries: what the node knows.
+        seeds: names of nodes of other data centres, by data centre.
+        source: source of randomness.
+    """
+
+    __slots__ = (
+        '_entries',
+        '_seeds',
+        '_random',
+        '_log',
+        '_sessions',
+        '_subscribers',
+        '_found',
+        '_sent_at',
+    )
+
+    def __init__(
+        self,
+        known_entries: entries.Entries,
+        seeds: abc.Mapping[str, tuple[str, ...]],
+        source: random.Random,
+    ) -> None:
+        own_state = known_entries.own.state
+        self._entries = known_entries
+        self._seeds = seeds
+        self._random = source
+        self._log = changelog.ChangeLog(
+            own_state.run,
+            own_state.member.datacentre,
+            known_entries.known,
+        )
+        self._sessions: dict[str, _Session] = {}
+        self._subscribers: dict[str, _Subscriber] = {}
+        # Nodes that control named, by data centre.
+        self._found: dict[str, tuple[str, ...]] = {}
+        self._sent_at: int | None = None
+        known_entries.watch(self.note_changes)
+
+    def find(self, members: tuple[messages.Member, ...]) -> None:
+        """Note members of other data centres that control named."""
+        for member in members:
+            named = self._found.get(member.datacentre, ())
+            kept = (member.name, *named)[: const.FOUND_MEMBERS]
+            self._found[member.datacentre] = tuple(dict.fromkeys(kept))
+
+    def renew(self, now: int, _late_ms: int) -> Effects:
+        """Renew the subscriptions that this node is chosen for."""
+        chosen = self._choose_datacentres()
+        for name in set(self._sessions) - set(chosen):
+            self._sessions.pop(name)
+        step: Effects = []
+        for datacentre in chosen:
+            step.extend(self._renew_session(datacentre))
+        exchange_at = now + const.EXCHANGE_PERIOD_MS
+        step.append(self._entries.alarms.set_timer('exchange', exchange_at))
+        if self._entries.is_stale_changed(now):
+            step.extend(self._entries.alarms.hasten('publish', now))
+        return step
+
+    def answer(
+        self,
+        message: relays.Subscribe,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Send the changes that a subscriber lacks."""
+        changes = self._log.read(message.log, message.after, now)
+        self._subscribers[sender] = _Subscriber(
+            changes.log,
+            changes.position,
+            now,
+        )
+        return [effects.Send(sender, changes)]
+
+    def accept(
+        self,
+        message: relays.Changes,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Merge changes of another data centre and pass them on."""
+        session = self._sessions.get(message.datacentre)
+        if session is not None and session.server == sender:
+            session.unanswered = 0
+            # A gap shows that a message was lost; the renewal asks again.
+            if message.log != session.log:
+                session.log = message.log
+                session.after = message.position
+            elif message.after <= session.after:
+                session.after = max(session.after, message.position)
+        batch = message.batch
+        number, beat_at = self._entries.known.read_beat(message.datacentre)
+        if number == 0 or now - beat_at >= const.BEAT_PERIOD_MS:
+            beat = wire.Beat(message.datacentre, number + 1)
+            batch = batch.replace(beats=(beat,))
+        step = self._entries.merge(batch, now)
+        if message.more and session is not None:
+            renewal = relays.Subscribe(session.log, session.after)
+            step.append(effects.Send(sender, renewal))
+        return step
+
+    def send_changes(self, now: int, _late_ms: int) -> Effects:
+        """Send changes to all subscribers that still renew."""
+        self._sent_at = now
+        step: Effects = []
+        for name, subscriber in list(self._subscribers.items()):
+            if now - subscriber.renewed_at > const.SUBSCRIPTION_MS:
+                self._subscribers.pop(name)
+                continue
+            changes = self._log.read(subscriber.log, subscriber.after, now)
+            if changes.position > subscriber.after:
+                subscriber.after = changes.position
+                step.append(effects.Send(name, changes))
+        return step
+
+    def note_changes(
+        self,
+        keys: list[tuple[str, str]],
+        now: int,
+    ) -> Effects:
+        """Log changes and send urgent ones soon."""
+        if not self._log.add(keys, now) or not self._subscribers:
+            return []
+        send_at = now + const.PUSH_DELAY_MS
+        if self._sent_at is not None:
+            send_at = max(send_at, self._sent_at + const.PUSH_PERIOD_MS)
+        return self._entries.alarms.hasten('changes', send_at)
+
+    def _choose_datacentres(self) -> list[str]:
+        own_member = self._entries.own.state.member
+        chosen_relays = rendezvous.rank_members(
+            const.RELAY_KEY,
+            (member.name for member in self._entries.live),
+        )[: const.RELAYS]
+        others = {
+            *self._entries.known.list_datacentres(),
+            *self._seeds,
+            *self._found,
+        }
+        return [
+            datacentre
+            for datacentre in sorted(others - {own_member.datacentre})
+            if own_member.name
+            in rendezvous.rank_members(datacentre, chosen_relays)[
+                : const.SUBSCRIBING_RELAYS
+            ]
+        ]
+
+    def _renew_session(self, datacentre: str) -> Effects:
+        session = self._sessions.get(datacentre)
+        if session is None or session.unanswered >= const.MAX_UNANSWERED:
+            server = self._choose_server(datacentre, session)
+            if not server:
+                return []
+            session = _Session(server)
+            self._sessions[datacentre] = session
+        session.unanswered += 1
+        renewal = relays.Subscribe(session.log, session.after)
+        return [effects.Send(session.server, renewal)]
+
+    def _choose_server(
+        self,
+        datacentre: str,
+        failed: _Session | None,
+    ) -> str:
+        """Return a relay of a data centre, or any name known for it."""
+        live = self._entries.known.list_live(datacentre)
+        ranked = rendezvous.rank_members(
+            const.RELAY_KEY,
+            (member.name for member in live),
+        )
+        candidates = [
+            *ranked[: const.RELAYS],
+            *self._found.get(datacentre, ()),
+            *self._seeds.get(datacentre, ()),
+        ]
+        if failed is not None:
+            candidates = [name for name in candidates if name != failed.server]
+        return self._random.choice(candidates) if candidates else ''
--- a/shallotwharf/components/membership/gossip.py
+++ b/shallotwharf/components/membership/gossip.py
@@ -1,5 +1,6 @@
 """Queue of entries that still have to be passed on."""
 
+import heapq
 import math
 import typing
 from collections import abc
@@ -17,10 +18,11 @@
 
 
 class _Queued:
-    __slots__ = ('total', 'left', 'urgent')
+    __slots__ = ('total', 'left', 'urgent', 'size')
 
-    def __init__(self, total: int, urgent: bool) -> None:
+    def __init__(self, total: int, urgent: bool, size: int) -> None:
         self.total = total
+        self.size = size
         self.left = total
         self.urgent = urgent
 
@@ -38,13 +40,14 @@
         self._known = known
         self._queue: dict[knowledge.Key, _Queued] = {}
 
-    def add(self, key: knowledge.Key, members: int) -> None:
+    def add(self, key: knowledge.Key, members: int, now: int) -> None:
         """Queue an entry for a group of that many members."""
         urgent = is_urgent(key)
         left = const.LOAD_TRANSMISSIONS
         if urgent:
             left = const.GOSSIP_FACTOR * math.ceil(math.log2(members + 2))
-        self._queue[key] = _Queued(left, urgent)
+        size = sizes.estimate_bytes(self._known.read_entry(key, now))
+        self._queue[key] = _Queued(left, urgent, size)
 
     def take(self, now: int, urgent_only: bool = False) -> wire.Batch:
         """Return the entries that are due most, up to `GOSSIP_BYTES`.
@@ -54,16 +57,14 @@
         room = const.GOSSIP_BYTES
         taken: list[records.Record] = []
         for key in self._rank(urgent_only):
+            size = self._queue[key].size
+            if size > room and taken:
+                continue
             entry = self._known.read_entry(key, now)
-            size = sizes.estimate_bytes(entry)
-            if entry is None:
-                self._queue.pop(key)
-            elif size <= room or not taken:
+            self._use(key)
+            if entry is not None:
                 taken.append(entry)
-                self._use(key)
                 room -= size
-            if room <= 0:
-                break
         return build_batch(taken)
 
     def has_fresh(self) -> bool:
@@ -79,10 +80,10 @@
             for key, queued in self._queue.items()
             if queued.urgent or not urgent_only
         ]
-        return sorted(
+        return heapq.nlargest(
+            const.GOSSIP_ENTRIES,
             keys,
             key=lambda key: (self._queue[key].urgent, self._queue[key].left),
-            reverse=True,
         )
 
     def _use(self, key: knowledge.Key) -> None:
--- a/shallotwharf/components/membership/knowledge.py
+++ b/shallotwharf/components/membership/knowledge.py
@@ -25,6 +25,7 @@
         '_merged',
         '_beats',
         '_ended',
+        '_datacentres',
     )
 
     def __init__(self) -> None:
@@ -38,6 +39,8 @@
         self._beats: dict[str, tuple[int, int]] = {}
         # When a member was first known as dead or departed.
         self._ended: dict[str, int] = {}
+        # When a data centre was first known.
+        self._datacentres: dict[str, int] = {}
 
     def merge(self, batch: wire.Batch, now: int) -> list[Key]:
         """Apply entries; return the keys of those that were news."""
@@ -67,6 +70,7 @@
         if known is not None and not state.is_newer(known):
             return False
         self.states[name] = state
+        self._datacentres.setdefault(state.member.datacentre, now)
         if state.is_live():
             self._ended.pop(name, None)
         else:
@@ -135,12 +139,11 @@
         return tuple(sorted(live, key=_read_name))
 
     def list_ended(self, datacentre: str) -> list[str]:
-        """Return names of the dead, not the departed, of a data centre."""
+        """Return names of the dead and departed of a data centre."""
         return [
             name
             for name in self._ended
-            if self.states[name].status == const.STATUS_DEAD
-            and self.states[name].member.datacentre == datacentre
+            if self.states[name].member.datacentre == datacentre
         ]
 
     def list_announcements(self) -> tuple[messages.Announcement, ...]:
@@ -153,13 +156,18 @@
 
     def list_stale(self, own: str, now: int) -> tuple[str, ...]:
         """Return other data centres that were not heard of for long."""
-        seen = {state.member.datacentre for state in self.states.values()}
         return tuple(
             datacentre
-            for datacentre in sorted(seen - {own})
-            if now - self.read_beat(datacentre)[1] > const.STALE_MS
+            for datacentre, known_at in sorted(self._datacentres.items())
+            if datacentre != own
+            and now - max(known_at, self.read_beat(datacentre)[1])
+            > const.STALE_MS
         )
 
+    def list_datacentres(self) -> list[str]:
+        """Return the data centres of all members that were known."""
+        return sorted(self._datacentres)
+
     def forget(self, now: int) -> None:
         """Drop what ended too long ago to return in a late message."""
         self.spreads.forget(now)
--- a/shallotwharf/components/membership/membership.py
+++ b/shallotwharf/components/membership/membership.py
@@ -9,13 +9,18 @@
 import random
 import types
 import typing
+from collections import abc
 
 from shallotwharf.components.membership import (
+    announcer,
     const,
     entries,
+    exchange,
     messages,
     own,
-    prober,
+    probing,
+    relays,
+    reporter,
     syncer,
     wire,
 )
@@ -23,19 +28,35 @@
 from shallotwharf.core import messages as core_messages
 
 Effects: typing.TypeAlias = list[effects.Effect]
+Seeds: typing.TypeAlias = abc.Mapping[str, tuple[str, ...]]
 
-_TIMERS: typing.Final = types.MappingProxyType(
+
+class _Alarm:
+    """The part of the aggregate and its method that a timer stands for."""
+
+    __slots__ = ('part', 'method')
+
+    def __init__(self, part: str, method: str) -> None:
+        self.part = part
+        self.method = method
+
+
+_ALARMS: typing.Final = types.MappingProxyType(
     {
-        'probe': 'probe',
-        'indirect': 'probe_indirectly',
-        'suspicion': 'end_suspicions',
-        'push': 'push',
-        'load': 'spread_load',
-        'publish': 'publish',
-        'sync': 'sync',
-        'join': 'join',
-    }
+        'probe': _Alarm('_probing', 'probe'),
+        'indirect': _Alarm('_probing', 'probe_indirectly'),
+        'suspicion': _Alarm('_entries', 'end_suspicions'),
+        'push': _Alarm('_entries', 'push'),
+        'publish': _Alarm('_entries', 'publish'),
+        'load': _Alarm('_announcer', 'spread_load'),
+        'sync': _Alarm('_syncer', 'sync'),
+        'join': _Alarm('_syncer', 'join'),
+        'exchange': _Alarm('_exchange', 'renew'),
+        'changes': _Alarm('_exchange', 'send_changes'),
+        'report': _Alarm('_reporter', 'report'),
+    },
 )
+_NO_SEEDS: typing.Final[Seeds] = types.MappingProxyType({})
 
 
 class Membership(aggregate.Aggregate):
@@ -46,6 +67,9 @@
         run: start of the process, in milliseconds since the epoch.
         seeds: names of nodes and control processes that may know members.
         source: source of randomness.
+        controls: names of the control processes, which get reports.
+        remote_seeds: names of some nodes of other data centres, by data
+            centre; not needed while control names them.
     """
 
     name = 'membership'
@@ -61,9 +85,19 @@
         wire.Push: 'accept_push',
         wire.Sync: 'answer_sync',
         wire.Snapshot: 'accept_snapshot',
+        relays.Subscribe: 'answer_subscription',
+        relays.Changes: 'accept_changes',
+        relays.DirectoryAnswer: 'accept_members',
     }
 
-    __slots__ = ('_entries', '_prober', '_syncer', '_random', '_spare')
+    __slots__ = (
+        '_entries',
+        '_probing',
+        '_announcer',
+        '_syncer',
+        '_exchange',
+        '_reporter',
+    )
 
     def __init__(
         self,
@@ -71,20 +105,28 @@
         run: int,
         seeds: tuple[str, ...],
         source: random.Random,
+        controls: tuple[str, ...] = (),
+        remote_seeds: Seeds = _NO_SEEDS,
     ) -> None:
         self._entries = entries.Entries(own.OwnEntries(member, run), source)
-        self._prober = prober.Prober(source)
+        self._probing = probing.Probing(self._entries, source)
+        self._announcer = announcer.Announcer(self._entries)
         self._syncer = syncer.Syncer(self._entries, seeds, source)
-        self._random = source
-        self._spare = 0
+        self._exchange = exchange.Exchange(
+            self._entries,
+            remote_seeds,
+            source,
+        )
+        self._reporter = reporter.Reporter(self._entries, controls)
 
     def start(self, now: int) -> Effects:
         """Enter the own state and look for other members."""
-        first_probe = now + self._random.randrange(const.PROBE_PERIOD_MS)
         return [
             *self._entries.enter_own_state(now),
             *self._syncer.start(now),
-            self._entries.alarms.set_timer('probe', first_probe),
+            *self._exchange.renew(now, 0),
+            *self._reporter.report(now, 0),
+            *self._probing.start(now),
         ]
 
     def fire(
@@ -95,7 +137,9 @@
     ) -> Effects:
         """Do what a timer stands for."""
         late_ms = self._entries.alarms.fire(message.name, now)
-        step: Effects = getattr(self, _TIMERS[message.name])(now, late_ms)
+        alarm = _ALARMS[message.name]
+        method = getattr(getattr(self, alarm.part), alarm.method)
+        step: Effects = method(now, late_ms)
         return step
 
     def announce(
@@ -105,36 +149,7 @@
         now: int,
     ) -> Effects:
         """Spread the own announcement: at once, or later if only load."""
-        own_entries = self._entries.own
-        known = self._entries.known.read_announcement(
-            own_entries.state.member.name,
-        )
-        announced = message.announcement
-        self._spare = announced.spare
-        if known is not None and announced == known.replace(
-            spare=announced.spare,
-            generation=announced.generation,
-        ):
-            load_at = own_entries.find_load_time(now)
-            return self._entries.alarms.hasten('load', load_at)
-        newest = known.generation if known is not None else 0
-        batch = wire.Batch(
-            announcements=(own_entries.announce(announced, newest),),
-        )
-        return [
-            *self._entries.merge(batch, now),
-            *self.spread_load(now, 0),
-        ]
-
-    def spread_load(self, now: int, _late_ms: int) -> Effects:
-        """Spread the own spare slots if they changed."""
-        own_entries = self._entries.own
-        known = self._entries.known.read_load(own_entries.state.member.name)
-        if known is not None and known.spare == self._spare:
-            return []
-        newest = known.number if known is not None else 0
-        load = own_entries.build_load(self._spare, newest, now)
-        return self._entries.merge(wire.Batch(loads=(load,)), now)
+        return self._announcer.announce(message.announcement, now)
 
     def spread(
         self,
@@ -175,46 +190,9 @@
         _now: int,
     ) -> Effects:
         """Probe the peer of a lost connection next."""
-        if sender in self._entries.others:
-            self._prober.hasten(sender)
+        self._probing.hasten(sender)
         return []
 
-    def probe(self, now: int, late_ms: int) -> Effects:
-        """Judge the probe before and begin the next one."""
-        step: Effects = []
-        if late_ms > const.LATE_TIMER_MS:
-            # Answers may wait behind this timer in the queue.
-            self._prober.slow_down()
-        elif self._prober.target:
-            step.extend(self._suspect(self._prober.target, now))
-        factor = self._prober.factor
-        self._entries.factor = factor
-        probe_at = now + const.PROBE_PERIOD_MS * factor
-        step.append(self._entries.alarms.set_timer('probe', probe_at))
-        target = self._prober.begin(self._entries.others)
-        if target:
-            batch = self._entries.take_gossip(now)
-            ping = wire.Ping(self._prober.number, batch)
-            indirect_at = now + const.DIRECT_TIMEOUT_MS * factor
-            step.append(effects.Send(target, ping))
-            step.append(
-                self._entries.alarms.set_timer('indirect', indirect_at),
-            )
-        return step
-
-    def probe_indirectly(self, _now: int, _late_ms: int) -> Effects:
-        """Probe again, also through other members."""
-        target = self._prober.target
-        if not target:
-            return []
-        number = self._prober.number
-        through = self._entries.pick_others(const.INDIRECT_PROBES, target)
-        request = wire.PingRequest(number, target)
-        return [
-            effects.Send(target, wire.Ping(number, wire.Batch())),
-            *(effects.Send(peer, request) for peer in through),
-        ]
-
     def answer_ping(
         self,
         message: wire.Ping,
@@ -222,9 +200,7 @@
         now: int,
     ) -> Effects:
         """Answer a probe."""
-        step = self._entries.merge(message.batch, now)
-        ack = wire.Ack(message.number, self._entries.take_gossip(now))
-        return [effects.Send(sender, ack), *step]
+        return self._probing.answer(message, sender, now)
 
     def accept_ack(
         self,
@@ -233,14 +209,7 @@
         now: int,
     ) -> Effects:
         """Note the answer to an own probe or pass it on."""
-        step = self._entries.merge(message.batch, now)
-        if message.number == self._prober.number and self._prober.target:
-            self._prober.succeed()
-        origin = self._prober.find_origin(message.number)
-        if origin is not None:
-            ack = wire.Ack(origin.number, wire.Batch())
-            step.append(effects.Send(origin.name, ack))
-        return step
+        return self._probing.accept(message, now)
 
     def forward_ping(
         self,
@@ -249,13 +218,7 @@
         _now: int,
     ) -> Effects:
         """Probe a member on behalf of another one."""
-        number = self._prober.forward(sender, message.number)
-        ping = wire.Ping(number, wire.Batch())
-        return [effects.Send(message.target, ping)]
-
-    def end_suspicions(self, now: int, late_ms: int) -> Effects:
-        """Declare dead who did not refute the suspicion in time."""
-        return self._entries.end_suspicions(now, late_ms)
+        return self._probing.forward(message, sender)
 
     def accept_push(
         self,
@@ -266,22 +229,6 @@
         """Merge urgent entries."""
         return self._entries.merge(message.batch, now)
 
-    def push(self, now: int, _late_ms: int) -> Effects:
-        """Send urgent entries."""
-        return self._entries.push(now)
-
-    def publish(self, now: int, _late_ms: int) -> Effects:
-        """Publish the announcements if they changed."""
-        return self._entries.publish(now)
-
-    def sync(self, now: int, _late_ms: int) -> Effects:
-        """Compare knowledge with a member."""
-        return self._syncer.sync(now)
-
-    def join(self, now: int, _late_ms: int) -> Effects:
-        """Look for members that are not known as live."""
-        return self._syncer.join(now)
-
     def answer_sync(
         self,
         message: wire.Sync,
@@ -300,15 +247,38 @@
         """Merge what differed and send what is wanted in return."""
         return self._syncer.accept(message, sender, now)
 
-    def _suspect(self, name: str, now: int) -> Effects:
-        state = self._entries.known.states[name]
-        self._prober.slow_down()
-        if state.status != const.STATUS_ALIVE:
-            return []
-        suspected = state.replace(status=const.STATUS_SUSPECT)
-        batch = wire.Batch(states=(suspected,))
-        return [
-            effects.Count('membership.suspected'),
-            *self._entries.merge(batch, now),
-            effects.Send(name, wire.Push(batch)),
-        ]
+    def answer_subscription(
+        self,
+        message: relays.Subscribe,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Send changes to a relay of another data centre."""
+        return self._exchange.answer(message, sender, now)
+
+    def accept_changes(
+        self,
+        message: relays.Changes,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Merge changes of another data centre."""
+        return self._exchange.accept(message, sender, now)
+
+    def accept_members(
+        self,
+        message: relays.DirectoryAnswer,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Note members that control named; send it the own ones."""
+        step: Effects = []
+        if message.members:
+            self._exchange.find(message.members)
+            self._syncer.find(message.members)
+            step.append(
+                effects.Publish(messages.PeersFound(message.members)),
+            )
+        if message.wanted:
+            step.extend(self._reporter.send_members(sender, now))
+        return step
--- a/shallotwharf/components/membership/messages.py
+++ b/shallotwharf/components/membership/messages.py
@@ -180,3 +180,13 @@
 
     def __init__(self, members: tuple[Member, ...]) -> None:
         self.members = members
+
+
+@messages.register('membership.live_nodes')
+class LiveNodes(messages.Message):
+    """Live nodes of all data centres as relays report them to control."""
+
+    __slots__ = ('members',)
+
+    def __init__(self, members: tuple[Member, ...]) -> None:
+        self.members = members
--- /dev/null
+++ b/shallotwharf/components/membership/reporter.py
@@ -0,0 +1,65 @@
+"""Reports of the first relay to the control processes."""
+
+import typing
+import zlib
+
+from shallotwharf.components.membership import const, entries, messages, relays
+from shallotwharf.core import effects, rendezvous
+
+Effects: typing.TypeAlias = list[effects.Effect]
+
+
+class Reporter:
+    """Tells control who lives in the data centre, while control is there."""
+
+    __slots__ = ('_entries', '_controls')
+
+    def __init__(
+        self,
+        known_entries: entries.Entries,
+        controls: tuple[str, ...],
+    ) -> None:
+        self._entries = known_entries
+        self._controls = controls
+
+    def report(self, now: int, _late_ms: int) -> Effects:
+        """Report if the own node is the first relay."""
+        report_at = now + const.REPORT_PERIOD_MS
+        step: Effects = [self._entries.alarms.set_timer('report', report_at)]
+        ranked = rendezvous.rank_members(
+            const.RELAY_KEY,
+            (member.name for member in self._entries.live),
+        )
+        if ranked[:1] == [self._entries.own.state.member.name]:
+            message = self._build(now, ())
+            step.extend(
+                effects.Send(control, message) for control in self._controls
+            )
+        return step
+
+    def send_members(self, control: str, now: int) -> Effects:
+        """Send the members that control asked for."""
+        return [effects.Send(control, self._build(now, self._entries.live))]
+
+    def _build(
+        self,
+        now: int,
+        members: tuple[messages.Member, ...],
+    ) -> relays.DatacentreReport:
+        own = self._entries.own.state.member.datacentre
+        known = self._entries.known
+        heard = set(known.list_datacentres()) - set(known.list_stale(own, now))
+        return relays.DatacentreReport(
+            own,
+            compute_digest(self._entries.live),
+            members,
+            tuple(sorted(heard)),
+        )
+
+
+def compute_digest(members: tuple[messages.Member, ...]) -> int:
+    """Return a digest of members and their addresses."""
+    digest = 0
+    for member in members:
+        digest ^= zlib.crc32(repr(member).encode())
+    return digest
--- a/shallotwharf/components/membership/syncer.py
+++ b/shallotwharf/components/membership/syncer.py
@@ -3,7 +3,7 @@
 import random
 import typing
 
-from shallotwharf.components.membership import const, entries, wire
+from shallotwharf.components.membership import const, entries, messages, wire
 from shallotwharf.core import effects
 
 Effects: typing.TypeAlias = list[effects.Effect]
@@ -17,7 +17,7 @@
     from each other find together.
     """
 
-    __slots__ = ('_entries', '_seeds', '_random')
+    __slots__ = ('_entries', '_seeds', '_found', '_random')
 
     def __init__(
         self,
@@ -28,29 +28,38 @@
         own_name = known_entries.own.state.member.name
         self._entries = known_entries
         self._seeds = tuple(seed for seed in seeds if seed != own_name)
+        self._found: tuple[str, ...] = ()
         self._random = source
 
+    def find(self, members: tuple[messages.Member, ...]) -> None:
+        """Note members of the own data centre that control named."""
+        datacentre = self._entries.own.state.member.datacentre
+        self._found = tuple(
+            member.name for member in members if member.datacentre == datacentre
+        )[: const.FOUND_MEMBERS]
+
     def start(self, now: int) -> Effects:
         """Ask seeds for members."""
         sync_at = now + self._random.randrange(const.SYNC_PERIOD_MS)
         return [
-            *self.join(now),
+            *self.join(now, 0),
             self._entries.alarms.set_timer('sync', sync_at),
         ]
 
-    def join(self, now: int) -> Effects:
-        """Ask one member that is not live, or several seeds when alone."""
+    def join(self, now: int, _late_ms: int) -> Effects:
+        """Ask some members that are not live, more when alone."""
         live = set(self._entries.others)
         own_member = self._entries.own.state.member
         sought = sorted(
             {
                 *self._seeds,
+                *self._found,
                 *self._entries.known.list_ended(own_member.datacentre),
             }
             - live
             - {own_member.name},
         )
-        count = 1 if live else const.JOIN_TARGETS
+        count = const.JOIN_TARGETS if live else const.FIRST_JOIN_TARGETS
         targets = self._random.sample(sought, min(count, len(sought)))
         join_at = now + const.JOIN_PERIOD_MS
         return [
@@ -58,7 +67,7 @@
             self._entries.alarms.set_timer('join', join_at),
         ]
 
-    def sync(self, now: int) -> Effects:
+    def sync(self, now: int, _late_ms: int) -> Effects:
         """Compare with one live member."""
         self._entries.known.forget(now)
         sync_at = now + const.SYNC_PERIOD_MS
--- a/tests/components/membership/test_membership.py
+++ b/tests/components/membership/test_membership.py
@@ -1,105 +1,195 @@
 """Guards against members that disagree, and live members declared dead."""
 
-import random
-
-from shallotwharf.components.membership import membership, messages
-from shallotwharf.core import aggregate
-from tests import fakes
-
-
-class Listener(aggregate.Aggregate):
-    """Keeps what membership publishes on a node."""
-
-    name = 'listener'
-    handlers = {
-        messages.MembersChanged: 'accept_members',
-        messages.AnnouncementsChanged: 'accept_announcements',
-    }
-
-    def __init__(self):
-        self.members = []
-        self.announcements = []
-
-    def start(self, now):
-        return []
-
-    def accept_members(self, message, sender, now):
-        self.members.append(tuple(m.name for m in message.members))
-        return []
-
-    def accept_announcements(self, message, sender, now):
-        self.announcements.append(message)
-        return []
-
-
-def build_member(name, datacentre='a'):
-    return messages.Member(name, datacentre, 'r', '10.0.0.1', 7000, 8000)
-
-
-class Group:
-    """A cluster of nodes whose first two are seeds."""
-
-    def __init__(self, seed, count):
-        self.cluster = fakes.Cluster(seed)
-        self.names = [f'a{number:02}' for number in range(count)]
-        self.listeners = {}
-        for name in self.names:
-            self.start(name)
-
-    def start(self, name):
-        self.listeners[name] = Listener()
-        node = membership.Membership(
-            build_member(name),
-            self.cluster.clock.read_wall(),
-            tuple(self.names[:2]),
-            random.Random(f'{name}{self.cluster.clock.read()}'),
-        )
-        self.cluster.start(name, node, self.listeners[name])
-
-    def agrees(self):
-        live = tuple(sorted(self.cluster.processes))
-        return all(self.listeners[name].members[-1:] == [live] for name in live)
-
-    def announce(self, name, state, spare=9):
-        announced = messages.Announcement(
-            build_member(name), 'svc', 'v1', state, 9, spare, 0
-        )
-        self.cluster.processes[name].dispatcher.deliver(
-            messages.Announce(announced), name
-        )
-
-    def read_states(self, name):
-        return {(node, self.read_announced(name, node)) for node in self.names}
-
-    def read_announced(self, name, node):
-        seen = self.listeners[name].announcements
-        for announced in seen[-1].announcements if seen else ():
-            if announced.node.name == node:
-                return announced.state
-        return None
-
-
-def test_members_find_each_other_and_notice_a_death():
-    group = Group(1, 20)
-    group.cluster.run_until(group.agrees, 10_000)
-    group.cluster.kill('a05')
-    group.cluster.run_until(group.agrees, 12_000)
-    group.start('a05')
-    group.cluster.run_until(group.agrees, 5000)
+import hypothesis
+from hypothesis import stateful, strategies
+
+from shallotwharf.components.membership import messages
+from tests.components.membership import world
+
+# A death is noticed within a probe round, the suspicion and the gossip.
+DEATH_MS = 12_000
+# Nodes whose timers ran late give each other four times the usual 5 s to
+# refute, and probe seven members in 14 s; then each asks two dead members or
+# seeds every 2 s.
+HEAL_MS = 40_000
+
+
+def start(seed, size=20, loss=0.0, controls=()):
+    state = world.World(seed, {'a': size}, controls)
+    state.cluster.run_until(state.agrees, 10_000)
+    state.cluster.loss = loss
+    return state
+
+
+class MembershipMachine(stateful.RuleBasedStateMachine):
+    """Faults at random; after them all live nodes agree in time."""
+
+    @stateful.initialize(seed=strategies.integers(0, 1000))
+    def begin(self, seed):
+        self.world = start(seed, size=7, controls=('k0',))
+        self.names = self.world.datacentres['a']
+        self.sent = 0
+
+    @stateful.rule(number=strategies.integers(0, 6))
+    def kill(self, number):
+        self.world.cluster.kill(self.names[number])
+
+    @stateful.rule(number=strategies.integers(0, 6))
+    def restart(self, number):
+        self.world.start(self.names[number])
+
+    @stateful.rule(number=strategies.integers(0, 6))
+    def freeze(self, number):
+        if self.names[number] in self.world.cluster.processes:
+            self.world.cluster.freeze(self.names[number])
+
+    @stateful.rule()
+    def thaw(self):
+        for name, process in list(self.world.cluster.processes.items()):
+            if process.frozen:
+                self.world.cluster.thaw(name)
+
+    @stateful.rule(side=strategies.sets(strategies.integers(0, 6)))
+    def cut(self, side):
+        left = [self.names[number] for number in sorted(side)]
+        rest = [name for name in self.names if name not in left]
+        self.world.cluster.cut(left, rest)
+
+    @stateful.rule(rate=strategies.sampled_from((0.0, 0.2, 0.5)))
+    def lose(self, rate):
+        self.world.cluster.loss = rate
+        self.world.cluster.duplicate = rate
+
+    @stateful.rule(number=strategies.integers(0, 6))
+    def leave(self, number):
+        name = self.names[number]
+        process = self.world.cluster.processes.get(name)
+        if process is not None and not process.frozen:
+            self.world.deliver(name, messages.Leave())
+            self.world.cluster.run_for(500)
+            self.world.cluster.kill(name)
+
+    @stateful.rule(number=strategies.integers(0, 6))
+    def spread(self, number):
+        name = self.names[number]
+        process = self.world.cluster.processes.get(name)
+        if process is not None and not process.frozen:
+            self.sent += 1
+            self.world.spread(name, f'note {self.sent}')
+
+    @stateful.rule(duration_ms=strategies.sampled_from((50, 900, 8000)))
+    def run(self, duration_ms):
+        self.world.cluster.run_for(duration_ms)
+
+    @stateful.rule()
+    def recover(self):
+        self.world.cluster.heal()
+        self.lose(0.0)
+        self.thaw()
+        self.world.cluster.run_until(self.world.agrees, HEAL_MS, 100)
+
+    @stateful.invariant()
+    def check(self):
+        if hasattr(self, 'world'):
+            for listener in self.world.listeners.values():
+                assert len(set(listener.notes)) == len(listener.notes)
+
+    def teardown(self):
+        if hasattr(self, 'world'):
+            self.recover()
+
+
+TestMembershipMachine = MembershipMachine.TestCase
+TestMembershipMachine.settings = hypothesis.settings(
+    max_examples=30, stateful_step_count=25
+)
+
+
+def test_death_restart_and_departure_are_noticed():
+    state = start(1)
+    state.cluster.kill('a05')
+    state.cluster.run_until(state.agrees, DEATH_MS)
+    state.start('a05')
+    state.cluster.run_until(state.agrees, 5000)
+    state.deliver('a07', messages.Leave())
+    state.cluster.run_for(100)
+    state.cluster.kill('a07')
+    state.cluster.run_until(state.agrees, 3000)
 
 
 def test_drain_reaches_all_with_loss():
-    group = Group(2, 20)
-    group.cluster.run_until(group.agrees, 10_000)
-    for name in group.names:
-        group.announce(name, messages.UPSTREAM_READY)
-    group.cluster.run_for(5000)
-    group.cluster.loss = 0.2
-    group.announce('a07', messages.UPSTREAM_DRAINING)
-    group.cluster.run_until(
+    state = start(2, size=78)
+    for name in state.datacentres['a']:
+        state.announce(name)
+    state.cluster.run_for(10_000)
+    state.cluster.loss = 0.2
+    state.announce('a07', messages.UPSTREAM_DRAINING)
+    state.cluster.run_until(
         lambda: all(
-            group.read_announced(name, 'a07') == messages.UPSTREAM_DRAINING
-            for name in group.names
+            state.listeners[name].announced['a07'].state
+            == messages.UPSTREAM_DRAINING
+            for name in state.datacentres['a']
         ),
         3000,
     )
+
+
+def test_node_frozen_for_two_seconds_is_not_declared_dead():
+    state = start(3, size=30)
+    for number in range(10):
+        name = state.datacentres['a'][number]
+        state.cluster.freeze(name)
+        state.cluster.run_for(2000)
+        state.cluster.thaw(name)
+        state.cluster.run_for(3000)
+    assert state.count_deaths() == 0
+
+
+def test_lossy_network_declares_hardly_any_node_dead():
+    state = start(4, size=30, loss=0.2)
+    state.cluster.run_for(60_000)
+    # 30 nodes for 60 s: at most one false death in half an hour of a node.
+    assert state.count_deaths() <= 1
+
+
+def test_frozen_observer_does_not_declare_the_others_dead():
+    state = start(5, size=10)
+    state.cluster.freeze('a03')
+    state.cluster.run_for(4000)
+    state.cluster.thaw('a03')
+    state.cluster.run_for(10_000)
+    assert state.count_deaths() == 0
+
+
+def test_members_are_published_on_change_only():
+    state = start(6, size=10)
+    before = [listener.published for listener in state.listeners.values()]
+    state.cluster.run_for(30_000)
+    after = [listener.published for listener in state.listeners.values()]
+    assert before == after
+
+
+def test_spread_reaches_each_node_once_and_late_joiners():
+    state = start(7, loss=0.2)
+    state.cluster.kill('a09')
+    state.spread('a00', 'once')
+    state.cluster.run_for(5000)
+    state.start('a09')
+    state.cluster.run_for(8000)
+    assert all(
+        listener.notes == ['once'] for listener in state.listeners.values()
+    )
+    state.cluster.run_for(120_000)
+    state.start('a09')
+    state.cluster.run_for(8000)
+    assert state.listeners['a09'].notes == []
+
+
+def test_spreads_are_bounded():
+    state = start(8, size=3)
+    for number in range(300):
+        state.spread('a00', f'note {number}')
+    state.cluster.run_for(60_000)
+    assert len(state.listeners['a01'].notes) == 256
+    process = state.cluster.processes['a00']
+    assert process.counters.read('membership.spread.refused') == 44
