Assign holder groups at control

Cause: holder groups are committed configuration, so that two sides of a partition never pick different holders.

Change: `HolderAssignment` proposes the first groups once the live nodes are the same for 10 s, replaces a member that was silent for ten minutes when the other two are settled, and moves members to better places one at a time. A group lies in one region, in different data centres. `is_next_assignment` is the check that the ledger has to make.

--- /dev/null
+++ b/shallotwharf/components/once/assignment.py
@@ -0,0 +1,279 @@
+"""Assignment of holder groups at the control process that leads."""
+
+import typing
+
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.membership import messages as membership_messages
+from shallotwharf.components.once import const, peers, placement
+from shallotwharf.components.replica import messages as replica_messages
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, effects
+from shallotwharf.core import messages as core_messages
+
+Effects: typing.TypeAlias = list[effects.Effect]
+Groups: typing.TypeAlias = tuple[version.HolderGroup, ...]
+
+_TICK: typing.Final = 'tick'
+
+
+class _Report:
+    """The last report of a holder and when it came."""
+
+    __slots__ = ('seats', 'fresh', 'received_at')
+
+    def __init__(self, report: peers.HolderReport, received_at: int) -> None:
+        self.seats = {seat.group: seat for seat in report.seats}
+        self.fresh = report.fresh
+        self.received_at = received_at
+
+
+class HolderAssignment(aggregate.Aggregate):
+    """Proposes holder groups while this process leads.
+
+    A member that was silent for `REPLACE_AFTER_MS` is replaced if the two
+    others are settled and know that their epoch is sealed, and if the group
+    has not changed for the lifetime of records. A group that lost two members
+    at once waits until one of them returns: nobody else can tell whether they
+    still serve calls on the other side of a partition.
+
+    Args:
+        wall_offset: wall time less monotonic time at the start, in ms.
+        size: nodes of a group; 1 for a cluster of a single node.
+        stable_ms: how long the live nodes have to be the same before the
+            first assignment, so that it does not miss those that start.
+    """
+
+    name = 'once.assignment'
+    handlers = {
+        core_messages.TimerFired: 'tick',
+        replica_messages.LeaderChanged: 'change_leader',
+        tables_messages.VersionAccepted: 'accept_version',
+        membership_messages.LiveNodes: 'accept_nodes',
+        peers.HolderReport: 'accept_report',
+    }
+
+    __slots__ = (
+        '_wall_offset',
+        '_size',
+        '_stable_ms',
+        '_leading',
+        '_led_since',
+        '_groups',
+        '_changed_at',
+        '_nodes',
+        '_nodes_changed_at',
+        '_reports',
+        '_proposed',
+    )
+
+    def __init__(
+        self,
+        wall_offset: int,
+        size: int = const.GROUP_SIZE,
+        stable_ms: int = const.FIRST_STABLE_MS,
+    ) -> None:
+        self._wall_offset = wall_offset
+        self._size = size
+        self._stable_ms = stable_ms
+        self._nodes_changed_at = 0
+        self._leading = False
+        self._led_since = 0
+        self._groups: Groups = ()
+        self._changed_at: dict[str, int] = {}
+        self._nodes: dict[str, membership_messages.Member] = {}
+        self._reports: dict[str, _Report] = {}
+        # What was proposed at the last tick; a tick is left out after it.
+        self._proposed: Groups = ()
+
+    def start(self, _now: int) -> Effects:
+        """Do nothing until this process leads."""
+        return []
+
+    def change_leader(
+        self,
+        message: replica_messages.LeaderChanged,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Begin or cease to assign groups."""
+        if message.leading == self._leading:
+            return []
+        self._leading = message.leading
+        self._led_since = now
+        self._proposed = ()
+        if not self._leading:
+            return [effects.CancelTimer(_TICK)]
+        return [effects.SetTimer(_TICK, now + const.FIRST_TICK_MS)]
+
+    def accept_version(
+        self,
+        message: tables_messages.VersionAccepted,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Take the groups that control agreed on."""
+        epochs = {group.name: group.epoch for group in self._groups}
+        self._groups = message.accepted.holders
+        self._proposed = ()
+        for group in self._groups:
+            if epochs.get(group.name) != group.epoch:
+                self._changed_at[group.name] = now
+        return []
+
+    def accept_nodes(
+        self,
+        message: membership_messages.LiveNodes,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Note the live nodes."""
+        self._nodes_changed_at = now
+        self._nodes = {member.name: member for member in message.members}
+        return []
+
+    def accept_report(
+        self,
+        message: peers.HolderReport,
+        sender: str,
+        now: int,
+    ) -> Effects:
+        """Note where a holder stands."""
+        self._reports[sender] = _Report(message, now)
+        return []
+
+    def tick(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Propose groups if they have to change."""
+        if not self._leading:
+            return []
+        step: Effects = [effects.SetTimer(_TICK, now + const.ASSIGN_PERIOD_MS)]
+        if self._proposed:
+            self._proposed = ()
+            return step
+        proposed = self._plan(now)
+        if proposed != self._groups:
+            self._proposed = proposed
+            command = ledger_messages.AssignHolders(
+                proposed,
+                now + self._wall_offset,
+            )
+            step.append(effects.Publish(replica_messages.Propose('', command)))
+        return step
+
+    def _plan(self, now: int) -> Groups:
+        if not self._groups:
+            return self._plan_first(now)
+        candidates = placement.Candidates(self._nodes.values(), self._groups)
+        planned = tuple(
+            self._plan_group(group, candidates, now) for group in self._groups
+        )
+        if planned == self._groups:
+            return self._plan_improvement(candidates, now)
+        return planned
+
+    def _plan_improvement(
+        self,
+        candidates: placement.Candidates,
+        now: int,
+    ) -> Groups:
+        """Move one member of one group, if all three are live and settled."""
+        for number, group in enumerate(self._groups):
+            names = {member.name for member in group.members}
+            if names <= set(self._nodes) and self._may_change(group, '', now):
+                improved = candidates.improve(group)
+                if improved != group:
+                    before = self._groups[:number]
+                    return (*before, improved, *self._groups[number + 1 :])
+        return self._groups
+
+    def _plan_first(self, now: int) -> Groups:
+        """Prefer nodes that settle at once, since they saw no groups yet."""
+        fresh = [
+            member
+            for name, member in self._nodes.items()
+            if name in self._reports and self._reports[name].fresh
+        ]
+        waited_ms = now - max(self._led_since, self._nodes_changed_at)
+        all_fresh = len(fresh) == len(self._nodes)
+        needed_ms = self._stable_ms if all_fresh else const.FIRST_WAIT_MS
+        if waited_ms < needed_ms:
+            return ()
+        if len(fresh) >= self._size:
+            return placement.place_first(fresh, size=self._size)
+        return placement.place_first(self._nodes.values(), size=self._size)
+
+    def _plan_group(
+        self,
+        group: version.HolderGroup,
+        candidates: placement.Candidates,
+        now: int,
+    ) -> version.HolderGroup:
+        names = [member.name for member in group.members]
+        missing = [name for name in names if self._is_missing(name, now)]
+        if len(missing) != 1 or not self._may_change(group, missing[0], now):
+            return group
+        rest = tuple(
+            member for member in group.members if member.name != missing[0]
+        )
+        kept = [member.name for member in rest]
+        chosen = candidates.choose(
+            group.name,
+            candidates.find_region(kept),
+            kept,
+            missing,
+        )
+        if chosen is None:
+            return group
+        return group.replace(
+            members=(*rest, chosen),
+            epoch=group.epoch + 1,
+        )
+
+    def _is_missing(self, name: str, now: int) -> bool:
+        report = self._reports.get(name)
+        heard_at = self._led_since
+        if report is not None:
+            heard_at = max(heard_at, report.received_at)
+        return (
+            name not in self._nodes and now - heard_at >= const.REPLACE_AFTER_MS
+        )
+
+    def _may_change(
+        self,
+        group: version.HolderGroup,
+        missing: str,
+        now: int,
+    ) -> bool:
+        changed_at = max(
+            self._changed_at.get(group.name, 0),
+            self._led_since,
+        )
+        if now - changed_at < const.LIFETIME_MS:
+            return False
+        return all(
+            self._is_settled(member.name, group, now)
+            for member in group.members
+            if member.name != missing
+        )
+
+    def _is_settled(
+        self,
+        name: str,
+        group: version.HolderGroup,
+        now: int,
+    ) -> bool:
+        report = self._reports.get(name)
+        if report is None or now - report.received_at > const.REPORT_FRESH_MS:
+            return False
+        seat = report.seats.get(group.name)
+        return (
+            seat is not None
+            and seat.epoch == group.epoch
+            and seat.settled
+            and seat.sealed
+        )
--- a/shallotwharf/components/once/const.py
+++ b/shallotwharf/components/once/const.py
@@ -78,6 +78,8 @@
 GROUPS: typing.Final = 30
 GROUP_SIZE: typing.Final = 3
 ASSIGN_PERIOD_MS: typing.Final = 5000
+# A new leader looks this soon, so that a new cluster has groups early.
+FIRST_TICK_MS: typing.Final = 1000
 # A holder that was not heard of for this long is replaced.
 REPLACE_AFTER_MS: typing.Final = 600_000
 REPORT_PERIOD_MS: typing.Final = 10_000
@@ -86,3 +88,4 @@
 REPORT_FRESH_MS: typing.Final = 30_000
 # The first assignment waits this long for nodes that saw no groups before.
 FIRST_WAIT_MS: typing.Final = 60_000
+FIRST_STABLE_MS: typing.Final = 10_000
--- a/shallotwharf/components/tables/version.py
+++ b/shallotwharf/components/tables/version.py
@@ -153,6 +153,36 @@
         return None
 
 
+def is_next_assignment(
+    current: tuple[HolderGroup, ...],
+    proposed: tuple[HolderGroup, ...],
+) -> bool:
+    """Return whether holder groups may replace the current ones.
+
+    The names of groups never change once there are any, so that a key meets
+    the same group at all times. Of each group at most one member changes,
+    and its epoch is then raised by one.
+    """
+    if not current:
+        return all(group.epoch == 0 for group in proposed)
+    known = {group.name: group for group in current}
+    return sorted(known) == sorted(group.name for group in proposed) and all(
+        _is_next_group(known[group.name], group) for group in proposed
+    )
+
+
+def _is_next_group(current: HolderGroup, proposed: HolderGroup) -> bool:
+    before = {member.name for member in current.members}
+    after = {member.name for member in proposed.members}
+    if before == after:
+        return proposed.epoch == current.epoch
+    return (
+        proposed.epoch == current.epoch + 1
+        and len(after - before) == 1
+        and len(after) == len(before)
+    )
+
+
 def compute_shares(
     served: pool.Pool,
     move: Move | None,
