Wire membership between data centres, holder groups and crash reports

Cause: nodes of other data centres were unknown, and once-only calls had no holders.

Change: control runs the directory and the assignment of holder groups; nodes report to it and refuse requests that crash upstreams.

--- a/shallotwharf/components/poison/poison.py
+++ b/shallotwharf/components/poison/poison.py
@@ -64,6 +64,10 @@
         """Do nothing until an upstream crashes."""
         return []
 
+    def is_empty(self) -> bool:
+        """Return whether no digest is suspected or refused."""
+        return not self._suspects
+
     def is_poison(self, digest: bytes, now: int) -> bool:
         """Return whether a request of this digest is refused."""
         suspect = self._suspects.get(digest)
--- a/shallotwharf/roles/control/api.py
+++ b/shallotwharf/roles/control/api.py
@@ -20,9 +20,9 @@
 
 
 class ControlAggregates:
-    """The aggregates of a control process."""
+    """The aggregates of a control process; `others` are not asked."""
 
-    __slots__ = ('replica', 'ledger', 'feed', 'director')
+    __slots__ = ('replica', 'ledger', 'feed', 'director', 'others')
 
     def __init__(
         self,
@@ -30,15 +30,23 @@
         control_ledger: ledger.Ledger,
         control_feed: feed.Feed,
         control_director: director.Director,
+        others: tuple[aggregate.Aggregate, ...],
     ) -> None:
         self.replica = control_replica
         self.ledger = control_ledger
         self.feed = control_feed
         self.director = control_director
+        self.others = others
 
     def list_all(self) -> tuple[aggregate.Aggregate, ...]:
         """Return all; those that consume events before their sources."""
-        return (self.ledger, self.feed, self.director, self.replica)
+        return (
+            self.ledger,
+            self.feed,
+            self.director,
+            *self.others,
+            self.replica,
+        )
 
 
 class ControlApi:
--- a/shallotwharf/roles/control/process.py
+++ b/shallotwharf/roles/control/process.py
@@ -7,7 +7,9 @@
 from shallotwharf.components.delivery import feed
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.ledger import ledger
+from shallotwharf.components.membership import directory
 from shallotwharf.components.move import director
+from shallotwharf.components.once import assignment
 from shallotwharf.components.replica import replica
 from shallotwharf.core import logs, messages
 from shallotwharf.roles import process
@@ -100,6 +102,12 @@
             source,
         ),
         director.Director(frame.clock, settings.datacentres),
+        (
+            directory.Directory(),
+            assignment.HolderAssignment(
+                frame.clock.read_wall() - frame.clock.read(),
+            ),
+        ),
     )
 
 
--- a/shallotwharf/roles/node/addresses.py
+++ b/shallotwharf/roles/node/addresses.py
@@ -14,6 +14,7 @@
     name = 'addresses'
     handlers = {
         membership.MembersChanged: 'learn_members',
+        membership.PeersFound: 'learn_members',
         tables.VersionApplied: 'learn_holders',
     }
 
@@ -26,11 +27,11 @@
 
     def learn_members(
         self,
-        message: membership.MembersChanged,
+        message: membership.MembersChanged | membership.PeersFound,
         _sender: str,
         _now: int,
     ) -> list[effects.Effect]:
-        """Learn the addresses of the own data centre."""
+        """Learn the addresses of nodes of any data centre."""
         for member in message.members:
             self._links.set_address(
                 member.name,
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -3,7 +3,7 @@
 import typing
 import uuid
 
-from shallotwharf.adapters import admin, exchange, inbound, upstreams
+from shallotwharf.adapters import admin, inbound, services, upstreams
 from shallotwharf.components.call import caller
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.delivery import relay, subscriber
@@ -11,12 +11,13 @@
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.move import watcher
 from shallotwharf.components.once import coordinator, holder
+from shallotwharf.components.poison import poison
 from shallotwharf.components.upstream import gate
 from shallotwharf.components.upstream import messages as upstream_messages
 from shallotwharf.components.upstream import settings as gate_settings
-from shallotwharf.core import callports, logs
+from shallotwharf.core import logs
 from shallotwharf.roles import callpath, process
-from shallotwharf.roles.node import addresses, api, observer
+from shallotwharf.roles.node import addresses, api, observer, refusals
 from shallotwharf.roles.settings import model
 
 # Longest time that a shutdown waits for calls in flight.
@@ -109,6 +110,7 @@
         names,
         started_at,
     )
+    poison_list = poison.PoisonList(settings.name, started_at)
     return api.NodeAggregates(
         caller.Caller(
             member,
@@ -119,13 +121,14 @@
         gate.Gate(
             member,
             gate_settings.GateSettings(),
-            callports.EmptyPoisonList(),
+            refusals.ListedRequests(poison_list),
             started_at,
         ),
         subscriber.Subscriber(member, control, frame.random),
         (
             addresses.AddressBook(frame.links),
             move_watcher,
+            poison_list,
             holder.Holder(
                 settings.name,
                 started_at,
@@ -139,6 +142,7 @@
                 started_at,
                 names + tuple(seed.name for seed in settings.seeds),
                 frame.random,
+                names,
             ),
         ),
     )
@@ -147,7 +151,7 @@
 def _build_services(
     frame: process.Frame,
     aggregates: api.NodeAggregates,
-) -> exchange.Services:
+) -> services.Services:
     return callpath.build_services(
         frame.dispatcher,
         aggregates.caller,
