Parse calls with httptools instead of code of our own

Cause: adapters.wire found the end of chunks and bodies itself, although a library does so and no further parsers are wanted here.

Change: httptools parses requests and answers; wire keeps whole messages in order and hands them over one at a time. The same tests hold: any split of the bytes gives the same messages, ambiguous lengths and bare line feeds are refused.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -96,7 +96,7 @@
 
     def __init__(self, pool: Owner, first: Outgoing) -> None:
         self._pool = pool
-        self._reader = wire.Reader(self)
+        self._reader = wire.AnswerReader(self)
         self._transport: asyncio.Transport | None = None
         self._current: Outgoing | None = first
         self._sent = False
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -135,7 +135,7 @@
 
     def __init__(self, server: CallServer) -> None:
         self._server = server
-        self._reader = wire.Reader(self)
+        self._reader = wire.RequestReader(self)
         self._transport: asyncio.Transport | None = None
         self._start_line = httputil.RequestStartLine('', '', '')
         self._headers = httputil.HTTPHeaders()
--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -1,25 +1,23 @@
 """HTTP/1.1 messages on asyncio's transports, without a task a message.
 
-Start lines, headers and lengths are parsed by tornado; this module finds
-where a message ends (RFC 9112, sections 6 and 7). Tornado's HTTP1Connection
-does the same with a coroutine and several futures for each message, which
-took about twice the time that a call may be delayed (see
-docs/measurements.md).
+httptools parses the bytes; this module hands whole messages over one at a
+time. Tornado's HTTP1Connection does the same with a coroutine and several
+futures for each message, which took about twice the time that a call may be
+delayed (see docs/measurements.md).
 """
 
 import abc
-import functools
+import collections
 import typing
 
+import httptools
 from tornado import http1connection, httputil
 
 MAX_HEAD_BYTES: typing.Final = 32_768
-_MAX_CHUNK_LINE_BYTES: typing.Final = 64
-_MAX_TRAILER_BYTES: typing.Final = 8192
-_END_OF_HEAD: typing.Final = b'\r\n\r\n'
-_END_OF_LINE: typing.Final = b'\r\n'
 _CONTENT_LENGTH: typing.Final = 'Content-Length'
 
+Parser: typing.TypeAlias = typing.Any
+
 
 class HeadTooLargeError(httputil.HTTPInputError):
     """The head of a message exceeds its limit."""
@@ -53,22 +51,95 @@
         """Take the body of a message, which is whole."""
 
 
-class Reader:
+class _Message:
+    """A message as far as it has arrived."""
+
+    __slots__ = (
+        'text',
+        'start_line',
+        'headers',
+        'parts',
+        'head_size',
+        'size',
+        'unparsed',
+        'has_head',
+        'is_given',
+        'is_whole',
+    )
+
+    def __init__(self) -> None:
+        # Target of a request or reason phrase of an answer.
+        self.text = b''
+        self.start_line = ''
+        self.headers = httputil.HTTPHeaders()
+        self.parts: list[bytes] = []
+        self.head_size = 0
+        self.size = 0
+        # Bytes that arrived before the end of the head.
+        self.unparsed = 0
+        self.has_head = False
+        self.is_given = False
+        self.is_whole = False
+
+    def add_header(self, name: bytes, field: bytes) -> None:
+        """Add a header; the fields of a trailer are dropped."""
+        if self.has_head:
+            return
+        self.head_size += len(name) + len(field)
+        key = name.decode('latin1')
+        text = field.decode('latin1')
+        if key in self.headers:
+            self.headers.add(key, text)
+        else:
+            self.headers[key] = text
+
+    def is_head_too_large(self) -> bool:
+        """Tell whether the head exceeds its limit."""
+        if self.has_head:
+            return self.head_size > MAX_HEAD_BYTES
+        return self.unparsed > MAX_HEAD_BYTES
+
+    def join(self) -> bytes:
+        """Return the body, without a copy if it came in one part."""
+        if len(self.parts) == 1:
+            return self.parts[0]
+        return b''.join(self.parts)
+
+
+class Reader(abc.ABC):
     """Splits the bytes of a connection into messages.
 
-    After each message the reader stops until `resume`; bytes that arrive
-    meanwhile wait.
+    After each message the reader hands over nothing until `resume`; what
+    arrives meanwhile waits.
     """
 
-    __slots__ = ('_receiver', '_buffer', '_state', '_left', '_parts', '_size')
+    __slots__ = (
+        '_receiver',
+        '_parser',
+        '_messages',
+        '_fault',
+        '_is_waiting',
+        '_is_stopped',
+        '_excess',
+    )
 
     def __init__(self, receiver: Receiver) -> None:
         self._receiver = receiver
-        self._buffer = b''
-        self._state: typing.Callable[[], bool] = self._read_head
-        self._left = 0
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._parser = self.make_parser()
+        # The last one may still arrive.
+        self._messages: collections.deque[_Message] = collections.deque()
+        self._fault = ''
+        self._is_waiting = False
+        self._is_stopped = False
+        self._excess = 0
+
+    @abc.abstractmethod
+    def make_parser(self) -> Parser:
+        """Return a parser that calls this reader."""
+
+    @abc.abstractmethod
+    def build_start_line(self, text: str) -> str:
+        """Return the start line, given a target or a reason phrase."""
 
     def feed(self, received: bytes) -> None:
         """Take bytes.
@@ -76,172 +147,176 @@
         Raises:
             HTTPInputError: if they are not a valid message.
         """
-        self._buffer = self._buffer + received if self._buffer else received
+        if self._is_stopped:
+            return
+        known = len(self._messages)
+        begun = self._find_arriving()
+        try:
+            self._parse(received)
+        except httptools.HttpParserError as error:
+            self._fault = self._fault or repr(error)
+        last = self._find_arriving()
+        # The parser keeps a header line to itself until its end. Bytes that
+        # may belong to the message before are not counted.
+        alone = begun is None and len(self._messages) == known + 1
+        if last is not None and (alone or last is begun):
+            last.unparsed += len(received)
         self._advance()
 
     def resume(self) -> None:
-        """Read the next message.
+        """Hand over the next message.
 
         Raises:
             HTTPInputError: if what has arrived of it is not valid.
         """
-        self._state = self._read_head
+        self._is_waiting = False
         self._advance()
 
     def stop(self) -> None:
-        """Read nothing more."""
-        self._state = self._wait
-        self._buffer = b''
+        """Hand over nothing more."""
+        self._is_stopped = True
+        self._messages.clear()
+
+    def is_waiting(self) -> bool:
+        """Tell whether a message was handed over and `resume` is due."""
+        return self._is_waiting
 
     def count_waiting(self) -> int:
-        """Return the bytes that arrived and were not read."""
-        return len(self._buffer)
+        """Return about how many bytes arrived and were not handed over."""
+        waiting = sum(
+            message.head_size + message.size for message in self._messages
+        )
+        return waiting + self._excess
 
     def is_within_message(self) -> bool:
         """Tell whether a part of a message has arrived."""
-        if self._state == self._read_head:
-            return bool(self._buffer)
-        return self._state != self._wait
-
-    def _advance(self) -> None:
-        while self._state():
-            """Each state returns whether there may be more to read."""
+        return bool(self._messages) and not self._is_waiting
+
+    def on_message_begin(self) -> None:
+        """Begin a message; called by the parser, as those below."""
+        self._messages.append(_Message())
+
+    def on_url(self, part: bytes) -> None:
+        """Take a part of the target of a request."""
+        self._add_text(part)
+
+    def on_status(self, part: bytes) -> None:
+        """Take a part of the reason phrase of an answer."""
+        self._add_text(part)
+
+    def on_header(self, name: bytes, field: bytes | None) -> None:
+        """Take a header line."""
+        self._messages[-1].add_header(name, field or b'')
+
+    def on_headers_complete(self) -> None:
+        """Take note of the end of the head."""
+        message = self._messages[-1]
+        text = message.text.decode('latin1')
+        message.start_line = self.build_start_line(text)
+        message.has_head = True
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        message = self._messages[-1]
+        message.parts.append(part)
+        message.size += len(part)
+
+    def on_message_complete(self) -> None:
+        """Take note of the end of a message."""
+        self._messages[-1].is_whole = True
+
+    def _find_arriving(self) -> _Message | None:
+        """Return the message whose head is not whole, if any."""
+        if self._messages and not self._messages[-1].has_head:
+            return self._messages[-1]
+        return None
 
-    def _wait(self) -> bool:
-        return False
+    def _add_text(self, part: bytes) -> None:
+        message = self._messages[-1]
+        message.text += part
+        message.head_size += len(part)
 
-    def _read_head(self) -> bool:
-        end = self._buffer.find(_END_OF_HEAD)
-        if end < 0 or end > MAX_HEAD_BYTES:
-            self._check_head()
-            return False
-        head = self._buffer[:end].decode('latin1').lstrip('\r\n')
-        self._buffer = self._buffer[end + len(_END_OF_HEAD) :]
-        start_line, _, lines = head.partition('\r\n')
-        headers = parse_headers(lines)
-        self._parts = []
-        self._size = 0
-        length = self._receiver.receive_head(start_line, headers)
-        if length is None:
-            self._state = self._read_chunk_line
-        elif length and self._state != self._wait:
-            self._left = length
-            self._state = self._read_fixed
-        elif self._state != self._wait:
-            self._end()
-        return True
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            # The offer to change the protocol is ignored.
+            self._parser = self.make_parser()
+            rest = received[upgrade.args[0] :]
+            if rest:
+                self._parse(rest)
 
-    def _check_head(self) -> None:
-        if len(self._buffer) > MAX_HEAD_BYTES:
+    def _advance(self) -> None:
+        while self._messages and not self._is_waiting:
+            if not self._hand_over(self._messages[0]):
+                break
+        if self._is_waiting or self._is_stopped:
+            return
+        if self._messages and self._messages[0].is_head_too_large():
             raise HeadTooLargeError('the head is too large')
-        if b'\n\n' in self._buffer:
-            raise httputil.HTTPInputError('a line ends without CR')
+        if self._fault:
+            raise httputil.HTTPInputError(self._fault)
 
-    def _read_fixed(self) -> bool:
-        if not self._take_part():
+    def _hand_over(self, message: _Message) -> bool:
+        """Hand over what has arrived; return whether it was all."""
+        if not message.has_head or message.is_head_too_large():
             return False
-        if not self._left:
-            self._end()
-        return True
-
-    def _read_chunk_line(self) -> bool:
-        line = self._take_line(_MAX_CHUNK_LINE_BYTES)
-        if line is None:
-            return False
-        try:
-            self._left = http1connection.parse_hex_int(line.decode('latin1'))
-        except ValueError:
-            raise httputil.HTTPInputError('invalid chunk size') from None
-        self._state = self._read_chunk if self._left else self._read_trailer
-        return True
-
-    def _read_chunk(self) -> bool:
-        if not self._take_part():
+        if not message.is_given:
+            self._give_head(message)
+        if self._is_stopped:
             return False
-        if not self._left:
-            self._state = self._read_chunk_end
-        return True
-
-    def _read_chunk_end(self) -> bool:
-        line = self._take_line(0)
-        if line is None:
+        if message.size and not self._receiver.receive_size(message.size):
             return False
-        self._state = self._read_chunk_line
-        return True
-
-    def _read_trailer(self) -> bool:
-        """Drop the trailer fields, up to an empty line."""
-        line = self._take_line(_MAX_TRAILER_BYTES)
-        if line is None:
+        if not message.is_whole or self._is_stopped:
             return False
-        if not line:
-            self._end()
+        self._messages.popleft()
+        self._is_waiting = True
+        self._receiver.receive_end(message.join())
         return True
 
-    def _take_part(self) -> bool:
-        """Move bytes of the body from the buffer; return False for none."""
-        if not self._buffer:
-            return False
-        part = self._buffer
-        if len(part) > self._left:
-            part = part[: self._left]
-        self._buffer = self._buffer[len(part) :]
-        self._left -= len(part)
-        self._size += len(part)
-        self._parts.append(part)
-        return self._receiver.receive_size(self._size)
-
-    def _take_line(self, limit: int) -> bytes | None:
-        end = self._buffer.find(_END_OF_LINE)
-        if end < 0:
-            # A CR may be there already.
-            end = len(self._buffer) - 1
-        if end > limit:
-            raise httputil.HTTPInputError('a line of a body is too long')
-        if not self._buffer.startswith(_END_OF_LINE, max(end, 0)):
-            return None
-        line = self._buffer[:end]
-        self._buffer = self._buffer[end + len(_END_OF_LINE) :]
-        return line
-
-    def _end(self) -> None:
-        self._state = self._wait
-        parts = self._parts
-        self._parts = []
-        self._receiver.receive_end(
-            parts[0] if len(parts) == 1 else b''.join(parts),
+    def _give_head(self, message: _Message) -> None:
+        message.is_given = True
+        length = self._receiver.receive_head(
+            message.start_line,
+            message.headers,
         )
+        if length == 0 and not message.is_whole and not self._is_stopped:
+            # The answer to HEAD has a length but no body.
+            self._excess = message.size
+            message.size = 0
+            message.parts = []
+            message.is_whole = True
+            self._parser = self.make_parser()
 
 
-def parse_headers(lines: str) -> httputil.HTTPHeaders:
-    """Return the headers of the lines of a head.
+class RequestReader(Reader):
+    """Splits the bytes of a connection into requests."""
 
-    Raises:
-        HTTPInputError: if a line is not valid.
-    """
-    headers = httputil.HTTPHeaders()
-    for line in lines.split('\r\n') if lines else ():
-        parse = _parse_line if len(line) > _CACHED_LENGTH else _parse_cached
-        name, field = parse(line)
-        if name in headers:
-            headers.add(name, field)
-        else:
-            headers[name] = field
-    return headers
+    __slots__ = ()
 
+    def make_parser(self) -> Parser:
+        """Return a parser of requests."""
+        return httptools.HttpRequestParser(self)
 
-def _parse_line(line: str) -> tuple[str, str]:
-    if '\n' in line or '\r' in line:
-        raise httputil.HTTPInputError('a line break within a header')
-    parsed = httputil.HTTPHeaders()
-    parsed.parse_line(line)
-    return next(iter(parsed.items()))
+    def build_start_line(self, text: str) -> str:
+        """Return the request line."""
+        method = self._parser.get_method().decode('latin1')
+        return f'{method} {text} HTTP/{self._parser.get_http_version()}'
+
+
+class AnswerReader(Reader):
+    """Splits the bytes of a connection into answers."""
+
+    __slots__ = ()
 
+    def make_parser(self) -> Parser:
+        """Return a parser of answers."""
+        return httptools.HttpResponseParser(self)
 
-# Most header lines of a connection repeat from message to message.
-_CACHED_LENGTH: typing.Final = 128
-_CACHED_LINES: typing.Final = 4096
-_parse_cached: typing.Final = functools.lru_cache(_CACHED_LINES)(_parse_line)
+    def build_start_line(self, text: str) -> str:
+        """Return the status line."""
+        version = self._parser.get_http_version()
+        return f'HTTP/{version} {self._parser.get_status_code()} {text}'
 
 
 def find_body_length(headers: httputil.HTTPHeaders) -> int | None:
--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -12,7 +12,7 @@
     def __init__(self, limit=1 << 20):
         self.found = []
         self.limit = limit
-        self.reader = wire.Reader(self)
+        self.reader = wire.RequestReader(self)
         self.head = None
 
     def receive_head(self, start_line, headers):
@@ -31,7 +31,7 @@
         seen = -1
         while len(self.found) != seen:
             seen = len(self.found)
-            if self.reader._state == self.reader._wait:
+            if self.reader.is_waiting():
                 self.reader.resume()
 
 
