Test stores interrupted between entries and state, and hand-overs

Cause: with the order of stores changed, or without the majority for a hand-over, no test failed; a learner that outlived its voter's return was not noticed. Change: a crash at each file operation of one append; a hand-over that nobody could follow; a group is whole only without learners.

--- a/tests/components/replica/groups.py
+++ b/tests/components/replica/groups.py
@@ -295,8 +295,10 @@
         disks = {member.identity for member in status.members.voters}
         current = {f'{name}{self.disks[name]}' for name in self.names}
         applied = {found.applied for found in self.ledgers.values()}
-        committed = status.commit == status.last_index
-        return disks == current and committed and len(applied) == 1
+        settled = (
+            status.commit == status.last_index and not status.members.learners
+        )
+        return disks == current and settled and len(applied) == 1
 
     def _check_answers(self, found):
         rows = {row.request_id: row for row in found.list_history()}
--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -228,6 +228,18 @@
     group.recover()
 
 
+def test_leader_with_a_full_disk_stays_if_nobody_could_follow_it():
+    group = groups.Group('abc')
+    leader = group.wait_for_leader()
+    group.kill(list_others(group, leader)[0])
+    group.folders[leader].full = True
+    group.edit(leader)
+    for _ in range(50):
+        group.run(100)
+        assert group.find_leader() == leader
+    group.recover()
+
+
 def test_all_disks_full_keeps_the_leader_readable():
     group = groups.Group('abc')
     leader = group.wait_for_leader()
--- a/tests/components/replica/test_votes.py
+++ b/tests/components/replica/test_votes.py
@@ -52,8 +52,9 @@
             random.Random(1),
             self.snapshot_entries,
         )
-        self.run(self.replica.start(0))
+        restored = self.run(self.replica.start(0))
         self.now = LATER_MS
+        return restored
 
     def run(self, step):
         done = []
@@ -295,3 +296,21 @@
         last = base + len(model)
         assert (found.base, found.last_index) == (base, last)
         assert list(found.read_range(base + 1, last)) == model
+
+
+def test_crash_between_stores_never_commits_what_the_leader_replaced():
+    old, new = messages.NotLeader('old'), messages.NotLeader('new')
+    for operations in range(12):
+        single = Single(stored.Entry(2, 1, old))
+        single.data.crash_in = operations
+        try:
+            single.append(stored.Entry(2, 3, new), commit=2)
+        except folders.CrashError:
+            pass
+        published = single.boot()
+        commands = [
+            message.command
+            for message in published
+            if isinstance(message, messages.Committed)
+        ]
+        assert commands in ([], [new])
--- a/tests/folders.py
+++ b/tests/folders.py
@@ -20,7 +20,8 @@
     """Files in memory; `crash` keeps what was synced and part of the rest.
 
     Names and contents are synced apart. `full` lets writes fail after a part
-    was written, `full_in` lets one fail; `crash_in` stops the process at the given operation.
+    was written, `full_in` lets one of them fail; `crash_in` stops the process
+    at the given operation.
     """
 
     def __init__(self, seed: int = 1) -> None:
