--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -9,6 +9,10 @@
 LEASE_MS: typing.Final = 900
 ELECTION_MIN_MS: typing.Final = 1000
 ELECTION_MAX_MS: typing.Final = 2000
+# A candidate that did not win asks again sooner: the others may have heard
+# the leader a heartbeat later and refuse at first.
+RETRY_MIN_MS: typing.Final = 200
+RETRY_MAX_MS: typing.Final = 600
 
 # How often a process without a configuration asks the others for theirs.
 GREET_MS: typing.Final = 300
--- a/shallotwharf/components/replica/elections.py
+++ b/shallotwharf/components/replica/elections.py
@@ -8,13 +8,12 @@
 class Elections:
     """Votes given and received by one replica."""
 
-    __slots__ = ('_kernel', '_votes', '_preliminary', '_handed_over')
+    __slots__ = ('_kernel', '_votes', '_preliminary')
 
     def __init__(self, shared: kernel.Kernel) -> None:
         self._kernel = shared
         self._votes: set[str] = set()
         self._preliminary = True
-        self._handed_over = False
 
     @property
     def electable(self) -> bool:
@@ -26,13 +25,7 @@
 
     def reset_timer(self, now: int) -> None:
         """Wait for a random election timeout from `now` on."""
-        timeout_ms = self._kernel.random.randint(
-            const.ELECTION_MIN_MS,
-            const.ELECTION_MAX_MS,
-        )
-        self._kernel.outbox.add(
-            effects.SetTimer(const.TIMER_ELECTION, now + timeout_ms),
-        )
+        self._set_timer(now, const.ELECTION_MIN_MS, const.ELECTION_MAX_MS)
 
     def start_pre_vote(self, now: int) -> bool:
         """Ask the voters; return whether the election is already won."""
@@ -41,6 +34,7 @@
         if not self.electable:
             return False
         self._kernel.role = const.ROLE_CANDIDATE
+        self._set_timer(now, const.RETRY_MIN_MS, const.RETRY_MAX_MS)
         self._begin(preliminary=True)
         self._ask(
             protocol.PreVote(
@@ -58,7 +52,7 @@
         if not self.electable:
             return False
         self._kernel.role = const.ROLE_CANDIDATE
-        self._handed_over = handed_over
+        self._set_timer(now, const.RETRY_MIN_MS, const.RETRY_MAX_MS)
         self._begin(preliminary=False)
         self._kernel.change_term(self._kernel.term + 1, self._kernel.identity)
         self._ask(
@@ -123,6 +117,12 @@
         self._votes.add(message.identity)
         return self._count(now)
 
+    def _set_timer(self, now: int, least_ms: int, most_ms: int) -> None:
+        timeout_ms = self._kernel.random.randint(least_ms, most_ms)
+        self._kernel.outbox.add(
+            effects.SetTimer(const.TIMER_ELECTION, now + timeout_ms),
+        )
+
     def _begin(self, preliminary: bool) -> None:
         self._preliminary = preliminary
         self._votes = {self._kernel.identity}
