Bound the traffic of membership and widen its proof

Cause: a node may spend 10 KB/s on all control traffic; a late suspicion timer was postponed by its lateness only, so that the member was declared dead at once although its refutation may wait in the queue.

Change: entries travel 4 log10(n) times from each node, load of other data centres at most once a minute; a late suspicion timer leaves one more second. Tests for late timers, a lost link between two members, halves without a seed, and traffic at three sizes.

--- a/shallotwharf/components/membership/const.py
+++ b/shallotwharf/components/membership/const.py
@@ -29,15 +29,17 @@
 MAX_HEALTH_FACTOR: typing.Final = 4
 # A timer later than this shows that this process was frozen or starved.
 LATE_TIMER_MS: typing.Final = 250
+# Time to handle what waited meanwhile, before anyone is declared dead.
+GRACE_MS: typing.Final = 1000
 
 # Upper bound of piggybacked gossip: four messages a second of this size are
 # 3 KB/s, well below the 10 KB/s that a node may use for control.
 GOSSIP_BYTES: typing.Final = 750
 # No more entries than this fit, since the smallest ones have 20 bytes.
 GOSSIP_ENTRIES: typing.Final = 40
-# Transmissions of an entry are this factor times log2 of the members, as in
-# the SWIM paper; load is advisory and replaced soon, so it gets fewer.
-GOSSIP_FACTOR: typing.Final = 2
+# Transmissions of an entry by each node are this factor times log10 of the
+# members: 8 for 78. Load is advisory and replaced soon, so it gets fewer.
+GOSSIP_FACTOR: typing.Final = 4
 LOAD_TRANSMISSIONS: typing.Final = 3
 # Urgent entries are pushed at once, at most this often.
 PUSH_FANOUT: typing.Final = 3
@@ -72,7 +74,9 @@
 SUBSCRIBING_RELAYS: typing.Final = 2
 # Entries of one message between data centres: about 20 KB.
 CHANGES_ENTRIES: typing.Final = 200
-REMOTE_LOAD_PERIOD_MS: typing.Final = 30_000
+# With 780 nodes elsewhere, 22 bytes each and three transmissions by each
+# node, their load takes about 2 KB/s, sent and received.
+REMOTE_LOAD_PERIOD_MS: typing.Final = 60_000
 FOUND_MEMBERS: typing.Final = 6
 MAX_SEEKERS: typing.Final = 200
 REPORT_PERIOD_MS: typing.Final = 5000
--- a/shallotwharf/components/membership/entries.py
+++ b/shallotwharf/components/membership/entries.py
@@ -152,7 +152,7 @@
         """Declare dead who did not refute the suspicion in time."""
         if late_ms > const.LATE_TIMER_MS:
             # Refutations may wait behind this timer in the queue.
-            self.suspicions.postpone(late_ms)
+            self.suspicions.postpone(late_ms + const.GRACE_MS)
         dead = tuple(
             self.known.states[name].replace(status=const.STATUS_DEAD)
             for name in self.suspicions.take_due(now)
--- a/shallotwharf/components/membership/gossip.py
+++ b/shallotwharf/components/membership/gossip.py
@@ -45,7 +45,7 @@
         urgent = is_urgent(key)
         left = const.LOAD_TRANSMISSIONS
         if urgent:
-            left = const.GOSSIP_FACTOR * math.ceil(math.log2(members + 2))
+            left = const.GOSSIP_FACTOR * math.ceil(math.log10(members + 2))
         size = sizes.estimate_bytes(self._known.read_entry(key, now))
         self._queue[key] = _Queued(left, urgent, size)
 
--- a/tests/components/membership/test_membership.py
+++ b/tests/components/membership/test_membership.py
@@ -1,9 +1,13 @@
 """Guards against members that disagree, and live members declared dead."""
 
+import random
+
 import hypothesis
 from hypothesis import stateful, strategies
 
-from shallotwharf.components.membership import messages
+from shallotwharf.components.membership import membership, messages, wire
+from shallotwharf.core import effects
+from shallotwharf.core import messages as core_messages
 from tests.components.membership import world
 
 # A death is noticed within a probe round, the suspicion and the gossip.
@@ -161,6 +165,60 @@
     assert state.count_deaths() == 0
 
 
+def test_late_timers_judge_nobody():
+    """After a freeze, answers may wait behind the timers."""
+    node = membership.Membership(
+        world.build_member('a00'), 1, (), random.Random(1)
+    )
+    due = {}
+
+    def follow(step):
+        due.update(
+            (effect.name, effect.at)
+            for effect in step
+            if isinstance(effect, effects.SetTimer)
+        )
+        return {
+            effect.name: effect.amount
+            for effect in step
+            if isinstance(effect, effects.Count)
+        }
+
+    def fire(timer, late_ms):
+        fired = core_messages.TimerFired(timer)
+        return follow(node.handle(fired, 'a00', due[timer] + late_ms))
+
+    follow(node.start(0))
+    other = wire.MemberState(world.build_member('a01'), 1, 0, 0)
+    push = wire.Push(wire.Batch(states=(other,)))
+    follow(node.handle(push, 'a01', 0))
+    fire('probe', 0)
+    assert 'membership.suspected' not in fire('probe', 9000)
+    assert 'membership.suspected' in fire('probe', 0)
+    assert fire('suspicion', 60_000)['membership.declared_dead'] == 0
+    assert fire('suspicion', 0)['membership.declared_dead'] == 1
+
+
+def test_lost_link_between_two_members_raises_no_suspicion():
+    state = start(9, size=10)
+    state.cluster.cut(['a03'], ['a04'])
+    state.cluster.run_for(30_000)
+    for process in state.cluster.processes.values():
+        assert process.counters.read('membership.suspected') == 0
+
+
+def test_halves_find_together_when_no_seed_is_left():
+    state = start(10, size=8)
+    state.cluster.kill('a00')
+    state.cluster.kill('a01')
+    state.cluster.run_until(state.agrees, DEATH_MS)
+    names = state.datacentres['a'][2:]
+    state.cluster.cut(names[:3], names[3:])
+    state.cluster.run_for(30_000)
+    state.cluster.heal()
+    state.cluster.run_until(state.agrees, HEAL_MS)
+
+
 def test_members_are_published_on_change_only():
     state = start(6, size=10)
     before = [listener.published for listener in state.listeners.values()]
--- /dev/null
+++ b/tests/components/membership/test_traffic.py
@@ -0,0 +1,59 @@
+"""Guards against gossip that takes more than a node may spend on control.
+
+The bound is 10 KB/s a node, sent and received, for all control traffic;
+membership gets two thirds of it.
+"""
+
+import random
+
+import pytest
+
+from tests.components.membership import world
+
+LIMIT_BYTES_PER_SECOND = 6700
+SECONDS = 20
+
+
+def measure(sizes, changes_load, restarts=0, seconds=SECONDS):
+    """Return bytes a second: the mean of all nodes and the highest one.
+
+    With `changes_load`, the spare slots of each node change twice a second.
+    """
+    state = world.World(1, sizes, ('k0',))
+    state.cluster.run_until(state.agrees, 30_000)
+    for name in state.list_nodes():
+        state.announce(name)
+    state.cluster.run_until(state.knows_all, 60_000)
+    state.cluster.run_for(40_000)
+    state.sent_bytes.clear()
+    source = random.Random(2)
+    for half in range(2 * seconds):
+        if changes_load:
+            for name in state.list_nodes():
+                state.announce(name, spare=source.randrange(10))
+        if half < restarts:
+            restarted = source.choice(state.list_nodes())
+            state.start(restarted)
+            state.announce(restarted)
+        state.cluster.run_for(500)
+    used = [state.sent_bytes[name] / seconds for name in state.list_nodes()]
+    return sum(used) / len(used), max(used)
+
+
+@pytest.mark.parametrize('size', [5, 10, 20])
+def test_idle_data_centre_stays_within_the_limit(size):
+    _, highest = measure({'a': size}, changes_load=False)
+    assert highest < LIMIT_BYTES_PER_SECOND
+
+
+@pytest.mark.parametrize('size', [5, 10, 20])
+def test_changing_load_and_restarts_stay_within_the_limit(size):
+    _, highest = measure({'a': size}, changes_load=True, restarts=1)
+    assert highest < LIMIT_BYTES_PER_SECOND
+
+
+@pytest.mark.parametrize('count', [2, 3, 5])
+def test_other_data_centres_stay_within_the_limit(count):
+    sizes = dict.fromkeys('abcde'[:count], 4)
+    _, highest = measure(sizes, changes_load=True)
+    assert highest < LIMIT_BYTES_PER_SECOND
