Print totals of the measurement and tighten the state machine

Cause: removing the fence's effect on traffic was not noticed by the state machine, since control took back between two looks.

Change: it looks each second, bounds how long a bad version is served, and checks that directors propose no step after a take-back.

--- a/shallotwharf/measure/move_report.py
+++ b/shallotwharf/measure/move_report.py
@@ -82,6 +82,26 @@
     return '\n'.join(map(_format_line, [_HEADER, *lines]))
 
 
+def format_totals(rows: abc.Sequence[MoveRow]) -> str:
+    """Return a line a policy with the totals over all kinds."""
+    policies = dict.fromkeys(row.policy for row in rows)
+    return '\n'.join(
+        _format_total(policy, [row for row in rows if row.policy == policy])
+        for policy in policies
+    )
+
+
+def _format_total(policy: str, rows: abc.Sequence[MoveRow]) -> str:
+    good = [row for row in rows if not row.is_bad]
+    bad = [row for row in rows if row.is_bad]
+    return (
+        f'{policy}: '
+        f'{sum(row.in_time for row in good)} of {len(good)} good in time, '
+        f'{sum(row.taken_back for row in good)} of them taken back; '
+        f'{sum(row.taken_back for row in bad)} of {len(bad)} bad taken back'
+    )
+
+
 def _summarize(rows: abc.Sequence[MoveRow]) -> list[int]:
     after = [row.calls_after for row in rows]
     before = statistics.median(row.calls_before for row in rows)
--- a/shallotwharf/measure/moves.py
+++ b/shallotwharf/measure/moves.py
@@ -211,7 +211,9 @@
 
 def main(seed: int = 1, count: int = 5) -> None:
     """Print the results of `count` moves of each kind."""
-    typer.echo(move_report.format_rows(measure_moves(seed, count)))
+    rows = measure_moves(seed, count)
+    typer.echo(move_report.format_rows(rows))
+    typer.echo(move_report.format_totals(rows))
 
 
 if __name__ == '__main__':
--- a/tests/components/move/test_evidence.py
+++ b/tests/components/move/test_evidence.py
@@ -94,3 +94,27 @@
     assert known.has('m2')
     known.apply([older.replace(move_id='m3')], 3)
     assert not known.has('m2')
+
+
+def test_new_collector_learns_of_the_old_version():
+    move = version.Move('m', 'p', 'old', 'new', 0, 10_000, 'full')
+    local = watch.Local(move, 1000)
+    for _ in range(1000):
+        local.calls.count('r', 'old', evidence.OUTCOME_OK, 20)
+    local.close_slice(move.share, 0)
+    local.close_slice(move.share, 500)
+    assert local.take_history('first') == ()
+    history = local.take_history('second')
+    assert local.take_history('second') == ()
+    # Below the rate that is allowed while the old version is unknown.
+    row = evidence.Row('', evidence.EMPTY_COUNTS, evidence.Counts(50, 5))
+    faults = []
+    for known in ((), history):
+        collection = watch.Collection()
+        for sequence in range(30):
+            report = messages.NodeEvidence('m', 1, sequence, (row,), known)
+            collection.accept(report, 'n')
+            collection.close_slice(move.share, 500 * sequence)
+        faults.append(collection.trial.fault)
+    assert faults[0] == ''
+    assert 'errors' in faults[1]
--- a/tests/components/move/test_machine.py
+++ b/tests/components/move/test_machine.py
@@ -23,12 +23,22 @@
         self.fenced = set()
         self.is_bad = False
         self.is_spoiled = False
+        self.exposed = dict.fromkeys(worlds.NODES, 0)
+        self.settled = 0
 
     @stateful.rule(seconds=strategies.integers(1, 20))
     def run(self, seconds):
         for _ in range(seconds):
+            proposed = len(worlds.find_commands(self.world.ledger))
             self.world.run(1000)
             self.note_fences()
+            self.fenced_version_gets_no_share()
+            self.bad_version_is_not_served_for_long()
+            self.settled = (self.settled + 1) * self.world.is_taken_back()
+            if self.settled > 2:
+                # The directors know of the take-back.
+                after = worlds.find_commands(self.world.ledger)
+                assert len(after) == proposed
 
     @stateful.rule(side=SIDES)
     def isolate(self, side):
@@ -42,12 +52,15 @@
 
     @stateful.rule(loss=strategies.sampled_from((0, 0.2)))
     def disturb(self, loss):
+        self.exposed = dict.fromkeys(worlds.NODES, 0)
         self.world.cluster.loss = loss
         self.world.cluster.duplicate = loss
 
     @stateful.rule(name=NODES)
     def restart_node(self, name):
         self.world.cluster.kill(name)
+        # The data centre may lose its evidence.
+        self.exposed = dict.fromkeys(worlds.NODES, 0)
         self.fenced = {pair for pair in self.fenced if pair[0] != name}
         self.world.start_node(name)
 
@@ -66,7 +79,7 @@
 
     @stateful.rule()
     def turn_bad(self):
-        self.is_bad = True
+        self.is_bad = self.is_spoiled = True
         self.world.turn_bad()
 
     @stateful.rule()
@@ -81,6 +94,7 @@
     def declare(self):
         self.number += 1
         self.is_bad = self.is_spoiled = False
+        self.settled = 0
         self.world.find_outcome = lambda is_new, name: ('ok', 20)
         self.world.declare(f'm{self.number}', f'v{self.number}')
 
@@ -93,6 +107,13 @@
                 shares = shares[:first]
             assert shares == sorted(shares)
 
+    def bad_version_is_not_served_for_long(self):
+        for name in worlds.NODES:
+            served = self.is_bad and self.world.find_share(name) >= 500
+            quiet = not self.world.cluster.loss
+            self.exposed[name] = (self.exposed[name] + 1) * served * quiet
+            assert self.exposed[name] <= 30
+
     @stateful.invariant()
     def fenced_version_gets_no_share(self):
         for name, move_id in self.fenced:
--- a/tests/measure/test_moves.py
+++ b/tests/measure/test_moves.py
@@ -51,3 +51,4 @@
     ]
     assert rows[:2] == rows[2:]
     assert kind in move_report.format_rows(rows)
+    assert '2 of 2 bad taken back' in move_report.format_totals(rows)
