Tell whether a replica's whole log is committed

Cause: a voter may hold an entry that the leader committed and nodes already run, without knowing yet that it is committed; its ledger is then no floor. Change: Replica.is_caught_up.

--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -53,7 +53,7 @@
             messages.SnapshotTaken: 'take_snapshot',
             messages.AddMember: 'change_members',
             messages.RemoveMember: 'change_members',
-            protocol.PreVote: 'answer_pre_vote',
+            protocol.PreVote: 'answer_vote',
             protocol.RequestVote: 'answer_vote',
             protocol.VoteReply: 'count_vote',
             protocol.AppendEntries: 'receive_from_leader',
@@ -133,6 +133,14 @@
         """Tell whether this process may answer for the group at `now`."""
         return self._duties.is_leading(now)
 
+    def is_caught_up(self) -> bool:
+        """Tell whether the whole own log is committed.
+
+        Otherwise nodes may run a version that this process has in its log
+        but not yet in its ledger, and it must not answer for their floor.
+        """
+        return self._kernel.commit == self._kernel.log.last_index
+
     def read_status(self) -> status.Status:
         """Return the position of this replica."""
         return status.read_status(self._kernel)
@@ -190,23 +198,17 @@
         """Go back before the step that failed; write nothing for a while."""
         self._duties.recover_store(now)
 
-    def answer_pre_vote(
-        self,
-        message: protocol.PreVote,
-        sender: str,
-        now: int,
-    ) -> None:
-        """Tell whether the own vote could be had."""
-        self._elections.answer_pre_vote(message, sender, now)
-
     def answer_vote(
         self,
-        message: protocol.RequestVote,
+        message: protocol.PreVote | protocol.RequestVote,
         sender: str,
         now: int,
     ) -> None:
-        """Give or refuse the vote of a term."""
-        self._elections.answer_request(message, sender, now)
+        """Give or refuse a vote."""
+        if isinstance(message, protocol.PreVote):
+            self._elections.answer_pre_vote(message, sender, now)
+        else:
+            self._elections.answer_request(message, sender, now)
 
     def count_vote(
         self,
--- a/tests/components/replica/test_votes.py
+++ b/tests/components/replica/test_votes.py
@@ -229,6 +229,15 @@
     assert found[1:] == (stored.Entry(2, 1, messages.NotLeader('old')),)
 
 
+def test_entries_that_may_be_committed_elsewhere_are_known_as_such():
+    single = Single()
+    single.append(stored.Entry(2, 3, messages.NotLeader('x')), commit=1)
+    assert not single.replica.is_caught_up()
+    message = protocol.AppendEntries(3, 'a1', 2, 3, (), 2, False, 0)
+    single.hand_over(message)
+    assert single.replica.is_caught_up()
+
+
 def test_snapshot_is_asked_for_again_after_the_disk_was_full():
     single = Single(snapshot_entries=2)
     entries = [
