End subscriptions that are not needed, and bound the traffic of a node

Cause: a relay that a fellow relay feeds stayed subscribed for 10 s, and control sent it each version again every second.

Change: relays end a subscription when they leave a control process. A test holds each node to 10 KB/s, and a change to one transfer into a data centre.

--- /dev/null
+++ b/shallotwharf/components/delivery/announcer.py
@@ -0,0 +1,71 @@
+"""What a relay tells the nodes of its data centre, and control."""
+
+import random as random_module
+from collections import abc
+
+from shallotwharf.components.delivery import (
+    census,
+    exchange,
+    group,
+    messages,
+    reporter,
+)
+from shallotwharf.core import effects
+
+
+class Announcer:
+    """Claims to the nodes, and reports to control of what the nodes have.
+
+    Attributes:
+        nodes: the nodes of the data centre.
+        reports: reports to control.
+    """
+
+    __slots__ = ('nodes', 'reports', '_announced')
+
+    def __init__(
+        self,
+        datacentre: str,
+        control: abc.Iterable[messages.ControlProcess],
+        random: random_module.Random,
+    ) -> None:
+        self.nodes = census.Census()
+        self.reports = reporter.Reporter(datacentre, control, random)
+        self._announced: exchange.RelayHolds | None = None
+
+    def pass_on(
+        self,
+        held: int,
+        relays: group.Group,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Tell control and the nodes what has changed."""
+        step = self.reports.report(self.nodes, held, now)
+        claim = self.make_claim(held, relays, now)
+        content = claim.replace(stamp=0)
+        if content != self._announced:
+            self._announced = content
+            step.extend(
+                effects.Send(member, claim)
+                for member in self.nodes.list_members()
+            )
+        return step
+
+    def make_claim(
+        self,
+        held: int,
+        relays: group.Group,
+        now: int,
+    ) -> exchange.RelayHolds:
+        """Return what nodes may count on; the floor covers it from now on."""
+        if not relays.floored:
+            return exchange.RelayHolds(held, 0, b'', 0, now)
+        claimed = self.reports.limit_claim(held, now)
+        relays.note_floor(claimed)
+        return exchange.RelayHolds(
+            held,
+            claimed,
+            relays.epoch,
+            len(relays.names),
+            now,
+        )
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -42,6 +42,7 @@
         replica_messages.LeaderChanged: 'change_leader',
         messages.PeerProgress: 'receive_progress',
         messages.Subscribe: 'subscribe',
+        messages.Unsubscribe: 'unsubscribe',
         messages.DatacentreReport: 'receive_report',
         messages.FloorQuery: 'answer_floor',
         core_messages.TimerFired: 'tick',
@@ -148,6 +149,16 @@
         released = self._peers.compute_released()
         return [*step, *self._subscriptions.offer(sender, released, now)]
 
+    def unsubscribe(
+        self,
+        _message: messages.Unsubscribe,
+        sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """End a subscription."""
+        self._subscriptions.remove(sender)
+        return []
+
     def receive_report(
         self,
         message: messages.DatacentreReport,
--- a/shallotwharf/components/delivery/fetching.py
+++ b/shallotwharf/components/delivery/fetching.py
@@ -92,3 +92,20 @@
         number, digest = self.read_base()
         request = exchange.Fetch(number, digest, self._for_relay)
         return [effects.Send(chosen, request)]
+
+    def serve(
+        self,
+        peer: str,
+        request: exchange.Fetch,
+    ) -> list[effects.Effect]:
+        """Send a peer the newest version if it is newer than its own."""
+        target = self.newest.number
+        if target <= request.number:
+            return []
+        wrap = messages.RelayPart if request.for_relay else exchange.NodePart
+        parts = self.history.make_parts(
+            request.number,
+            request.digest,
+            target,
+        )
+        return [effects.Send(peer, wrap(part)) for part in parts]
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -139,3 +139,62 @@
         if len(agreeing) < quorum.compute_intersecting(reply.size):
             return None
         return max(agreeing)
+
+
+class NodeFloor:
+    """The floor of a node, from its relays or from control.
+
+    Attributes:
+        number: lowest version that may be applied; None if not known yet.
+    """
+
+    __slots__ = ('number', '_relays', '_control', '_ask_control_at')
+
+    def __init__(
+        self,
+        control: abc.Iterable[messages.ControlProcess],
+        datacentre: str,
+        random: random_module.Random,
+    ) -> None:
+        self.number: int | None = None
+        self._relays = RelayFloors(random)
+        self._control = ControlFloor(control, datacentre, random)
+        self._ask_control_at = 0
+
+    def start(self, now: int) -> None:
+        """Note the time; relays are asked before control is."""
+        self._ask_control_at = now + const.CONTROL_FLOOR_DELAY_MS
+
+    def ask(
+        self,
+        relays: abc.Iterable[str],
+        now: int,
+    ) -> list[effects.Effect]:
+        """Ask for the floor if it is not known."""
+        if self.number is not None:
+            return []
+        step = self._relays.ask(relays)
+        if now >= self._ask_control_at:
+            step.extend(self._control.ask(now))
+            self.number = self._control.find(now)
+        return step
+
+    def receive_relay(
+        self,
+        sender: str,
+        reply: exchange.RelayFloorReply,
+    ) -> None:
+        """Note the answer of a relay."""
+        if self.number is None:
+            self.number = self._relays.receive(sender, reply)
+
+    def receive_control(
+        self,
+        sender: str,
+        reply: messages.FloorReply,
+        now: int,
+    ) -> None:
+        """Note the answer of a control process."""
+        if self.number is None:
+            self._control.receive(sender, reply)
+            self.number = self._control.find(now)
--- a/shallotwharf/components/delivery/group.py
+++ b/shallotwharf/components/delivery/group.py
@@ -13,57 +13,12 @@
 import typing
 from collections import abc
 
-from shallotwharf.components.delivery import const, exchange, quorum
+from shallotwharf.components.delivery import const, exchange, fellows, quorum
 from shallotwharf.core import digest
 
 _NO_EPOCH: typing.Final = b''
 
 
-class _Fellow:
-    """A fellow relay.
-
-    Attributes:
-        state: its last state.
-        heard_at: when that came.
-        proof: stamp that a state must be newer than if it comes from
-            another process of this name.
-        candidate: a process of this name that has yet to prove that it is
-            newer; 0 if none.
-        stamp: last stamp that was addressed to the own process.
-        stamped_by: process that issued it.
-    """
-
-    __slots__ = (
-        'state',
-        'heard_at',
-        'proof',
-        'candidate',
-        'stamp',
-        'stamped_by',
-    )
-
-    def __init__(self, proof: int) -> None:
-        self.state: exchange.RelayState | None = None
-        self.heard_at = 0
-        self.proof = proof
-        self.candidate = 0
-        self.stamp = 0
-        self.stamped_by = 0
-
-    def note_stamp(self, state: exchange.RelayState) -> None:
-        """Note a stamp to return; those of one process grow."""
-        if state.incarnation != self.stamped_by:
-            self.stamped_by = state.incarnation
-            self.stamp = 0
-        self.stamp = max(self.stamp, state.stamp)
-
-    def read_incarnation(self) -> int:
-        """Return the process that the next message is addressed to."""
-        if self.candidate or self.state is None:
-            return self.candidate
-        return self.state.incarnation
-
-
 class Group:
     """What a relay knows of its fellow relays, and its floor.
 
@@ -106,7 +61,7 @@
         # Stamps of an earlier process of this name must not look valid.
         self._first_stamp = 1 + random.getrandbits(const.STAMP_BITS)
         self._last_stamp = self._first_stamp
-        self._fellows: dict[str, _Fellow] = {}
+        self._fellows: dict[str, fellows.Fellow] = {}
         self._digest = _NO_EPOCH
         self._previous = _NO_EPOCH
         self._previous_size = 0
@@ -128,7 +83,7 @@
                 self._fellows.pop(name)
         for name in names:
             if name != self._own:
-                self._fellows.setdefault(name, _Fellow(self._last_stamp))
+                self._fellows.setdefault(name, fellows.Fellow(self._last_stamp))
         self._agree(now)
         return True
 
@@ -158,24 +113,17 @@
         fellow = self._fellows.get(sender)
         if fellow is None:
             return False
-        if state.seen == self._incarnation:
-            fellow.note_stamp(state)
-        if not self._accepts(fellow, state):
-            known = fellow.read_incarnation()
-            fellow.candidate = state.incarnation
-            return known != state.incarnation
-        fellow.candidate = 0
-        fellow.proof = max(fellow.proof, state.echo)
-        known_state = fellow.state
-        if known_state is not None and not _is_newer(state, known_state):
-            return False
-        fellow.state = state
-        fellow.heard_at = now
-        self._agree(now)
-        self._take_over()
-        if known_state is None:
-            return True
-        return state.standing.epoch != known_state.standing.epoch
+        before = (fellow.read_incarnation(), fellow.read_epoch())
+        kept = fellow.receive(
+            state,
+            self._incarnation,
+            self._last_stamp,
+            now,
+        )
+        if kept:
+            self._agree(now)
+            self._take_over()
+        return before != (fellow.read_incarnation(), fellow.read_epoch())
 
     def make_state(
         self,
@@ -219,6 +167,17 @@
                 heard.append((name, fellow.state))
         return heard
 
+    def list_ahead(self, held: int, now: int) -> list[str]:
+        """Return the fellows that hold a newer version, the first one first.
+
+        What a fellow of the data centre holds need not cross to it again.
+        """
+        return [
+            fellow
+            for fellow, state in self.list_heard(now)
+            if state.number > held
+        ]
+
     def is_fed(self, now: int) -> bool:
         """Tell whether control feeds a fellow of a higher rank."""
         before = self.names[: self.names.index(self._own)]
@@ -227,22 +186,6 @@
             for name, state in self.list_heard(now)
         )
 
-    def _accepts(
-        self,
-        fellow: _Fellow,
-        state: exchange.RelayState,
-    ) -> bool:
-        """Tell whether a state is of the newest process of its name.
-
-        A process that is not known must return a stamp that was addressed
-        to it and is newer than what the known one returned; a late message
-        of an earlier process cannot.
-        """
-        known = fellow.state
-        if known is not None and known.incarnation == state.incarnation:
-            return True
-        return fellow.proof < state.echo <= self._last_stamp
-
     def _agree(self, now: int) -> None:
         generations = {self._own: (self._incarnation, self._generation)}
         for name, fellow in self._fellows.items():
@@ -301,14 +244,5 @@
         return floors if len(floors) >= needed else []
 
 
-def _is_newer(
-    state: exchange.RelayState,
-    known: exchange.RelayState,
-) -> bool:
-    if state.incarnation != known.incarnation:
-        return True
-    return state.stamp > known.stamp
-
-
 def _compute_epoch(parts: abc.Iterable[str]) -> bytes:
     return digest.compute_digest(*parts)[: const.EPOCH_BYTES]
--- a/shallotwharf/components/delivery/messages.py
+++ b/shallotwharf/components/delivery/messages.py
@@ -101,6 +101,16 @@
         self.digest = digest
 
 
+@messages.register('delivery.unsubscribe')
+class Unsubscribe(messages.Message):
+    """A relay is fed by another process."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        """Create the message; the codec needs a constructor of its own."""
+
+
 @messages.register('delivery.retry_later')
 class RetryLater(messages.Message):
     """A subscription was not admitted; the relay may ask again later."""
--- a/shallotwharf/components/delivery/relay.py
+++ b/shallotwharf/components/delivery/relay.py
@@ -5,14 +5,13 @@
 from collections import abc
 
 from shallotwharf.components.delivery import (
-    census,
+    announcer,
     const,
     exchange,
     fetching,
     floors,
     group,
     messages,
-    reporter,
     uplink,
 )
 from shallotwharf.components.membership import messages as member_messages
@@ -34,12 +33,10 @@
         '_fetcher',
         '_group',
         '_uplink',
-        '_census',
-        '_reporter',
+        '_announcer',
         '_control_floor',
         '_ticked_at',
         '_fellow_beat_at',
-        '_announced',
     )
 
     name = 'relay'
@@ -77,8 +74,11 @@
         )
         self._group = group.Group(own.name, random)
         self._uplink = uplink.Uplink(own, processes, random)
-        self._census = census.Census()
-        self._reporter = reporter.Reporter(own.datacentre, processes, random)
+        self._announcer = announcer.Announcer(
+            own.datacentre,
+            processes,
+            random,
+        )
         self._control_floor = floors.ControlFloor(
             processes,
             own.datacentre,
@@ -86,11 +86,10 @@
         )
         self._ticked_at = 0
         self._fellow_beat_at = 0
-        self._announced: tuple[int, int, bytes] = (0, 0, b'')
 
     def start(self, now: int) -> list[effects.Effect]:
         """Wait for the members of the data centre."""
-        self._census.start(now)
+        self._announcer.nodes.start(now)
         return []
 
     def handle(
@@ -121,17 +120,16 @@
         """Begin or end to work as a relay."""
         names = [member.name for member in message.members]
         ranked = rendezvous.rank_members(self._own.datacentre, names)
-        self._census.set_members(names)
+        self._announcer.nodes.set_members(names)
         was_active = self._is_active()
         if not self._group.change_names(tuple(ranked[: const.RELAYS]), now):
             return []
         if not self._is_active():
-            self._uplink.close()
-            return [effects.CancelTimer(_TICK)]
+            return [effects.CancelTimer(_TICK), *self._uplink.close()]
         step = self._tell_fellows(now)
         if not was_active:
             self._ticked_at = now
-            self._reporter.start(now)
+            self._announcer.reports.start(now)
             step.append(self._set_timer(now))
         return step
 
@@ -155,8 +153,10 @@
         """Note which version a node has active, and answer what is held."""
         if not self._is_active():
             return []
-        self._census.receive(sender, message, now)
-        return [effects.Send(sender, self._make_claim(now))]
+        self._announcer.nodes.receive(sender, message, now)
+        held = self._fetcher.newest.number
+        claim = self._announcer.make_claim(held, self._group, now)
+        return [effects.Send(sender, claim)]
 
     def serve(
         self,
@@ -165,32 +165,27 @@
         _now: int,
     ) -> list[effects.Effect]:
         """Send the version that is held."""
-        history = self._fetcher.history
-        target = history.newest.number
-        if target <= message.number:
-            return []
-        wrap = messages.RelayPart if message.for_relay else exchange.NodePart
-        parts = history.make_parts(message.number, message.digest, target)
-        return [effects.Send(sender, wrap(part)) for part in parts]
+        return self._fetcher.serve(sender, message)
 
     def receive_part(
         self,
         message: messages.RelayPart,
-        _sender: str,
+        sender: str,
         now: int,
     ) -> list[effects.Effect]:
         """Hold a version once it is whole."""
+        step = self._uplink.decline(sender)
         try:
             built = self._fetcher.take(message.part, now)
         except errors.ProtocolError as error:
-            return [
-                effects.Count('delivery.relay_part_refused'),
-                effects.Report('relay_part_refused', {'error': error}),
-                *self._acknowledge(now),
-            ]
-        if built is None:
-            return []
-        return [*self._acknowledge(now), *self._tell_fellows(now)]
+            step.append(effects.Count('delivery.relay_part_refused'))
+            step.append(effects.Report('relay_part_refused', {'error': error}))
+        else:
+            if built is None:
+                return step
+        base = self._fetcher.read_base()
+        step.extend(self._uplink.acknowledge(*base, now))
+        return [*step, *self._tell_fellows(now)]
 
     def receive_status(
         self,
@@ -199,7 +194,7 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note the answer of a control process."""
-        if self._reporter.receive_status(sender, message, now):
+        if self._announcer.reports.receive_status(sender, message, now):
             self._uplink.receive_status(sender, message, now)
         return []
 
@@ -221,8 +216,7 @@
     ) -> list[effects.Effect]:
         """Note a floor that control states."""
         self._control_floor.receive(sender, message)
-        self._check_floor(now)
-        return []
+        return self._seek_floor(now)
 
     def answer_floor(
         self,
@@ -254,7 +248,10 @@
         step: list[effects.Effect] = [self._set_timer(now)]
         if now >= self._fellow_beat_at:
             step.extend(self._tell_fellows(now))
-        step.extend(self._keep_uplink(now))
+        if self._group.is_fed(now):
+            step.extend(self._uplink.close())
+        else:
+            step.extend(self._uplink.tick(*self._fetcher.read_base(), now))
         step.extend(self._seek_floor(now))
         return step
 
@@ -262,32 +259,9 @@
         return bool(self._group.names)
 
     def _pass_on(self, now: int) -> list[effects.Effect]:
-        step = self._fetcher.fetch(self._list_ahead(now), now)
         held = self._fetcher.newest.number
-        step.extend(self._reporter.report(self._census, held, now))
-        claim = self._make_claim(now)
-        announced = (claim.number, claim.claimed, claim.epoch)
-        if announced != self._announced:
-            self._announced = announced
-            step.extend(
-                effects.Send(member, claim)
-                for member in self._census.list_members()
-            )
-        return step
-
-    def _make_claim(self, now: int) -> exchange.RelayHolds:
-        held = self._fetcher.newest.number
-        if not self._group.floored:
-            return exchange.RelayHolds(held, 0, b'', 0, now)
-        claimed = self._reporter.limit_claim(held, now)
-        self._group.note_floor(claimed)
-        return exchange.RelayHolds(
-            held,
-            claimed,
-            self._group.epoch,
-            len(self._group.names),
-            now,
-        )
+        step = self._fetcher.fetch(self._group.list_ahead(held, now), now)
+        return [*step, *self._announcer.pass_on(held, self._group, now)]
 
     def _tell_fellows(self, now: int) -> list[effects.Effect]:
         self._fellow_beat_at = now + const.FELLOW_BEAT_MS
@@ -304,41 +278,16 @@
         )
         return effects.Send(fellow, state)
 
-    def _list_ahead(self, now: int) -> list[str]:
-        """Return the fellows that hold a newer version, the first one first.
-
-        What a fellow of the data centre holds need not cross to it again.
-        """
-        held = self._fetcher.newest.number
-        return [
-            fellow
-            for fellow, state in self._group.list_heard(now)
-            if state.number > held
-        ]
-
-    def _keep_uplink(self, now: int) -> list[effects.Effect]:
-        if self._group.is_fed(now):
-            self._uplink.close()
-            return []
-        return self._uplink.tick(*self._fetcher.read_base(), now)
-
-    def _acknowledge(self, now: int) -> list[effects.Effect]:
-        return self._uplink.acknowledge(*self._fetcher.read_base(), now)
-
     def _seek_floor(self, now: int) -> list[effects.Effect]:
         if self._group.floored or not self._group.epoch:
             return []
         if now - self._group.agreed_at < const.VIEW_SETTLE_MS:
             return []
-        self._check_floor(now)
-        return self._control_floor.ask(now, self._group.epoch)
-
-    def _check_floor(self, now: int) -> None:
-        if self._group.floored or not self._group.epoch:
-            return
         floor = self._control_floor.find(now, self._group.epoch)
-        if floor is not None:
-            self._group.accept_floor(floor)
+        if floor is None:
+            return self._control_floor.ask(now, self._group.epoch)
+        self._group.accept_floor(floor)
+        return []
 
     def _set_timer(self, now: int) -> effects.Effect:
         return effects.SetTimer(_TICK, now + const.RELAY_TICK_MS)
--- a/shallotwharf/components/delivery/subscriber.py
+++ b/shallotwharf/components/delivery/subscriber.py
@@ -40,10 +40,7 @@
         '_reason',
         '_incarnation',
         '_sequence',
-        '_started_at',
         '_beat_at',
-        '_relay_floors',
-        '_control_floor',
     )
 
     name = 'subscriber'
@@ -77,20 +74,13 @@
             for_relay=False,
         )
         self._active = version.EMPTY
-        self._floor: int | None = None
+        self._floor = floors.NodeFloor(control, own.datacentre, random)
         self._claims = claims.Claims()
         self._refused = 0
         self._reason = ''
         self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._sequence = 0
-        self._started_at = 0
         self._beat_at = 0
-        self._relay_floors = floors.RelayFloors(random)
-        self._control_floor = floors.ControlFloor(
-            control,
-            own.datacentre,
-            random,
-        )
 
     @property
     def active(self) -> version.Version:
@@ -100,11 +90,11 @@
     @property
     def floor(self) -> int | None:
         """Return the lowest version it may apply; None if not known."""
-        return self._floor
+        return self._floor.number
 
     def start(self, now: int) -> list[effects.Effect]:
         """Wait for the relays."""
-        self._started_at = now
+        self._floor.start(now)
         return [self._set_timer(now)]
 
     def change_members(
@@ -165,12 +155,9 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note a floor that a relay states."""
-        if self._floor is not None or sender not in self._relays:
-            return []
-        return self._set_floor(
-            self._relay_floors.receive(sender, message),
-            now,
-        )
+        if sender in self._relays:
+            self._floor.receive_relay(sender, message)
+        return self._apply(now)
 
     def receive_control_floor(
         self,
@@ -179,10 +166,8 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note a floor that control states."""
-        if self._floor is not None:
-            return []
-        self._control_floor.receive(sender, message)
-        return self._set_floor(self._control_floor.find(now), now)
+        self._floor.receive_control(sender, message, now)
+        return self._apply(now)
 
     def tick(
         self,
@@ -191,10 +176,8 @@
         now: int,
     ) -> list[effects.Effect]:
         """Repeat what may have been lost."""
-        step: list[effects.Effect] = []
-        if self._floor is None:
-            step.extend(self._seek_floor(now))
-        step.extend(self._fetch(now))
+        step = self._floor.ask(self._relays, now)
+        step.extend([*self._apply(now), *self._fetch(now)])
         if now >= self._beat_at or self._is_pending():
             step.extend(self._tell_relays(now))
         wait = const.NODE_BEAT_MS
@@ -216,31 +199,11 @@
 
     def _is_pending(self) -> bool:
         """Tell whether anything is awaited that may have been lost."""
-        if self._floor is None or self._list_ahead():
+        if self._floor.number is None or self._list_ahead():
             return True
         number = self._fetcher.newest.number
         return number not in {self._active.number, self._refused}
 
-    def _seek_floor(self, now: int) -> list[effects.Effect]:
-        step = self._relay_floors.ask(self._relays)
-        if now - self._started_at >= const.CONTROL_FLOOR_DELAY_MS:
-            step.extend(self._control_floor.ask(now))
-            step.extend(self._set_floor(self._control_floor.find(now), now))
-        return step
-
-    def _set_floor(
-        self,
-        floor: int | None,
-        now: int,
-    ) -> list[effects.Effect]:
-        if floor is None:
-            return []
-        self._floor = floor
-        return [
-            effects.Report('floor_known', {'number': floor}),
-            *self._apply(now),
-        ]
-
     def _fetch(self, now: int) -> list[effects.Effect]:
         step = self._fetcher.fetch(self._list_ahead(), now)
         if step:
@@ -265,7 +228,8 @@
         ]
 
     def _may_apply(self, number: int) -> bool:
-        if self._floor is None or number < self._floor:
+        floor = self._floor.number
+        if floor is None or number < floor:
             return False
         if number <= self._active.number or number == self._refused:
             return False
--- a/shallotwharf/components/delivery/subscriptions.py
+++ b/shallotwharf/components/delivery/subscriptions.py
@@ -83,6 +83,10 @@
         subscription.digest = request.digest
         return 0
 
+    def remove(self, relay: str) -> None:
+        """Send no more versions to a relay."""
+        self._relays.pop(relay, None)
+
     def has(self, relay: str) -> bool:
         """Tell whether a relay is subscribed."""
         return relay in self._relays
--- a/shallotwharf/components/delivery/uplink.py
+++ b/shallotwharf/components/delivery/uplink.py
@@ -68,10 +68,22 @@
             return False
         return now - self._heard_at < const.SILENCE_MS
 
-    def close(self) -> None:
-        """Give up the subscription; it expires at the control process."""
+    def close(self) -> list[effects.Effect]:
+        """Give up the subscription."""
+        feed = self._feed
         self._feed = ''
         self._heard_at = None
+        return self.decline(feed) if feed else []
+
+    def decline(self, sender: str) -> list[effects.Effect]:
+        """End a subscription to any process but the chosen one.
+
+        Such a process may have missed the end, and sends each version again
+        until the subscription expires.
+        """
+        if sender == self._feed or sender not in self._ranks:
+            return []
+        return [effects.Send(sender, messages.Unsubscribe())]
 
     def tick(
         self,
@@ -80,14 +92,14 @@
         now: int,
     ) -> list[effects.Effect]:
         """Renew the subscription or seek another control process."""
-        self._check_feed(number, now)
+        step = self._check_feed(number, now)
         if not self._feed:
             if now < self._next_at or not self._ranks:
-                return []
+                return step
             self._choose(now)
         elif now < self._renew_at:
             return []
-        return self.acknowledge(number, digest, now)
+        return [*step, *self.acknowledge(number, digest, now)]
 
     def acknowledge(
         self,
@@ -130,15 +142,17 @@
                 message.after_ms + const.BACKOFF_FIRST_MS,
             )
 
-    def _check_feed(self, number: int, now: int) -> None:
+    def _check_feed(self, number: int, now: int) -> list[effects.Effect]:
         if not self._feed:
-            return
+            return []
         heard_at = self._since if self._heard_at is None else self._heard_at
         if now - heard_at >= const.SILENCE_MS:
-            self._drop(now)
-        elif self._is_outdone(number, now):
-            self._drop(now)
+            return self._drop(now)
+        if self._is_outdone(number, now):
+            step = self._drop(now)
             self._next_at = now
+            return step
+        return []
 
     def _is_outdone(self, number: int, now: int) -> bool:
         """Tell whether another process does better for a resend's time."""
@@ -157,9 +171,9 @@
             self._behind_since = now
         return now - self._behind_since >= const.RESEND_MS
 
-    def _drop(self, now: int) -> None:
+    def _drop(self, now: int) -> list[effects.Effect]:
         self._known.pop(self._feed, None)
-        self.close()
+        step = self.close()
         self._behind_since = None
         limit = const.BACKOFF_FIRST_MS << min(self._attempts, const.DOUBLINGS)
         self._attempts += 1
@@ -167,6 +181,7 @@
             0,
             min(limit, const.BACKOFF_LAST_MS),
         )
+        return step
 
     def _choose(self, now: int) -> None:
         """Take the nearest of those heard as current, else any in turn."""
--- /dev/null
+++ b/tests/components/delivery/test_bytes.py
@@ -0,0 +1,51 @@
+"""Guards against control traffic that outgrows the budget of a node."""
+
+import pytest
+
+from shallotwharf.components.tables import version
+from tests.components.delivery import world as worlds
+
+# Section 1.6 of the design: 860 nodes in 11 data centres, 1,400 changes a
+# day and 10 KB/s for each node, in and out.
+NODES = 78
+CHANGE_INTERVAL_MS = 24 * 3600 * 1000 // 1400
+BUDGET_BYTES = 10_000 * CHANGE_INTERVAL_MS // 1000
+
+
+def change_one_pool(world):
+    base = world.versions[-1]
+    pools = base.tables.pools
+    changed = (pools[0].replace(slow_ms=base.number), *pools[1:])
+    tables = version.Tables(base.tables.routes, changed)
+    world.commit(base.replace(number=base.number + 1, tables=tables))
+
+
+@pytest.fixture(scope='module')
+def sent():
+    """Return bytes by sender and receiver from one change to the next."""
+    world = worlds.World(nodes=NODES, datacentres=('a',))
+    world.run(3000)
+    world.commit(worlds.make_version(world.random, 1, entries=200))
+    world.run_until(world.is_everywhere, 3000)
+    world.run(3000)
+    world.cluster.sent.clear()
+    change_one_pool(world)
+    world.run_until(world.is_everywhere, 3000)
+    world.run(CHANGE_INTERVAL_MS)
+    return world.cluster.sent
+
+
+def test_each_node_is_within_its_budget(sent):
+    for index in range(NODES):
+        name = f'a-{index}'
+        used = sum(size for key, size in sent.items() if name in key)
+        assert used < BUDGET_BYTES
+
+
+def test_change_crosses_to_a_datacentre_once(sent):
+    crossing = [
+        receiver
+        for sender, receiver, kind in sent
+        if kind == 'RelayPart' and sender.startswith('control')
+    ]
+    assert len(crossing) == 1
--- a/tests/components/delivery/world.py
+++ b/tests/components/delivery/world.py
@@ -74,13 +74,11 @@
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.sent = collections.Counter()
-        self.kinds = collections.Counter()
         self.starved = set()
 
     def transmit(self, sender, peer, message):
         size = len(codec.encode(message))
-        self.sent[sender, peer] += size
-        self.kinds[type(message).__name__] += size
+        self.sent[sender, peer, type(message).__name__] += size
         starved = {sender, peer} & self.starved
         if starved and isinstance(message, PARTS):
             return True
