--- a/shallotwharf/components/once/const.py
+++ b/shallotwharf/components/once/const.py
@@ -24,9 +24,11 @@
 # A holder that restarted copies records after this time, when each attempt
 # that counted a grant of its earlier run has been decided.
 RECOVERY_WAIT_MS: typing.Final = 2 * CLAIM_TIMEOUT_MS
-# A copy that is not complete by then begins anew.
+# A copy that made no progress for this long begins anew.
 COPY_TIMEOUT_MS: typing.Final = 5000
+# One page has 0.6 MB at most.
 COPY_RECORDS: typing.Final = 500
+COPY_BODY_BYTES: typing.Final = 1024
 PEEK_PERIOD_MS: typing.Final = 1000
 SETTLED_PEEK_PERIOD_MS: typing.Final = 10_000
 
--- a/shallotwharf/components/once/coordinator.py
+++ b/shallotwharf/components/once/coordinator.py
@@ -1,7 +1,6 @@
 """Coordinator of once-only calls on the node that accepts them."""
 
 import random
-import types
 import typing
 from collections import abc
 
@@ -58,9 +57,7 @@
 
     def __init__(self, source: random.Random) -> None:
         self._random = source
-        self._groups: abc.Mapping[str, version.HolderGroup] = (
-            types.MappingProxyType({})
-        )
+        self._groups: dict[str, version.HolderGroup] = {}
         # Open attempts by token, and granted ones by key.
         self._attempts: dict[bytes, attempt.Attempt] = {}
         self._granted: dict[str, attempt.Attempt] = {}
--- a/shallotwharf/components/once/copier.py
+++ b/shallotwharf/components/once/copier.py
@@ -6,23 +6,23 @@
 class Copier:
     """One copy of all records of all other members.
 
-    Each page is asked for again until it arrives; a copy that is not
-    complete in time is dropped and a new one begins.
+    Each page is asked for again until it arrives; a copy that
+    makes no progress is dropped and a new one begins.
     """
 
-    __slots__ = ('number', '_seat', '_started_at', '_after', '_open')
+    __slots__ = ('number', '_seat', '_progress_at', '_after', '_open')
 
     def __init__(self, copied: seat.Seat, number: int, now: int) -> None:
         self.number = number
         self._seat = copied
-        self._started_at = now
+        self._progress_at = now
         # Position of the last record of each member that has arrived.
         self._after = dict.fromkeys(copied.others, 0)
         self._open = set(copied.others)
 
     def is_over(self, now: int) -> bool:
         """Return whether the copy took too long or its epoch has passed."""
-        return now >= self._started_at + const.COPY_TIMEOUT_MS or set(
+        return now >= self._progress_at + const.COPY_TIMEOUT_MS or set(
             self._seat.others
         ) != set(self._after)
 
@@ -58,6 +58,7 @@
         for copied in page.records:
             self._seat.records.add_copy(copied, now)
         self._after[sender] = page.last
+        self._progress_at = now
         if page.complete:
             self._open.discard(sender)
         return True
--- a/shallotwharf/components/once/holder.py
+++ b/shallotwharf/components/once/holder.py
@@ -254,6 +254,12 @@
         entry.key,
         entry.digest,
         entry.token,
-        entry.result.outcome if entry.result is not None else '',
         entry.expires_at - now,
+        _shorten(entry.result),
     )
+
+
+def _shorten(result: wire.Result | None) -> wire.Result | None:
+    if result is None or len(result.body) <= const.COPY_BODY_BYTES:
+        return result
+    return result.replace(body=b'', kept=False)
--- a/shallotwharf/components/once/peers.py
+++ b/shallotwharf/components/once/peers.py
@@ -1,5 +1,6 @@
 """Messages among holders, and from holders to control."""
 
+from shallotwharf.components.once import wire
 from shallotwharf.core import messages, records
 
 
@@ -71,23 +72,26 @@
 
 
 class CopiedRecord(records.Record):
-    """A record without its answer; `outcome` is empty while claimed."""
+    """A record; it has no result while it is claimed.
 
-    __slots__ = ('key', 'digest', 'token', 'outcome', 'remaining_ms')
+    The body of a result is left out if it is larger than `COPY_BODY_BYTES`.
+    """
+
+    __slots__ = ('key', 'digest', 'token', 'remaining_ms', 'result')
 
     def __init__(
         self,
         key: str,
         digest: bytes,
         token: bytes,
-        outcome: str,
         remaining_ms: int,
+        result: wire.Result | None,
     ) -> None:
         self.key = key
         self.digest = digest
         self.token = token
-        self.outcome = outcome
         self.remaining_ms = remaining_ms
+        self.result = result
 
 
 @messages.register('once.copied')
--- a/shallotwharf/components/once/store.py
+++ b/shallotwharf/components/once/store.py
@@ -104,10 +104,7 @@
                 finish.token,
                 expires_at,
             )
-        if entry.result is None or not entry.result.kept:
-            entry.digest = finish.digest
-            entry.token = finish.token
-            entry.result = self._keep_body(finish.result)
+        self._set_result(entry, finish.digest, finish.token, finish.result)
 
     def release(self, key: str, token: bytes) -> None:
         """Drop the claim of an attempt and refuse late copies of it."""
@@ -138,10 +135,8 @@
                 copied.token,
                 now + copied.remaining_ms,
             )
-        if copied.outcome and entry.result is None:
-            entry.digest = copied.digest
-            entry.token = copied.token
-            entry.result = wire.Result(copied.outcome, 0, '', b'', False)
+        if copied.result is not None:
+            self._set_result(entry, copied.digest, copied.token, copied.result)
 
     def _add(
         self,
@@ -156,6 +151,19 @@
         self._budget.entries -= 1
         return entry
 
+    def _set_result(
+        self,
+        entry: Entry,
+        digest: bytes,
+        token: bytes,
+        result: wire.Result,
+    ) -> None:
+        """Set the result of a call unless a whole one is there."""
+        if entry.result is None or not entry.result.kept:
+            entry.digest = digest
+            entry.token = token
+            entry.result = self._keep_body(result)
+
     def _remove(self, key: str) -> None:
         entry = self._entries.pop(key)
         self._budget.entries += 1
--- a/tests/components/once/test_assignment.py
+++ b/tests/components/once/test_assignment.py
@@ -146,3 +146,23 @@
     control.deliver(replica_messages.LeaderChanged('', False))
     control.step()
     assert control.groups == ()
+
+
+def test_assignment_that_skips_a_step_is_refused():
+    current = placement.place_first(build_members(1, 3, 2), 2)
+    first, second = current
+    spare = version.Holder('spare', '', 1)
+    one = first.replace(members=(*first.members[:2], spare), epoch=1)
+    other = spare.replace(name='other')
+    two = one.replace(members=(first.members[0], spare, other))
+    assert version.is_next_assignment(current, (one, second))
+    for groups in (
+        (),
+        (first,),
+        (first.replace(epoch=1), second),
+        (one.replace(epoch=0), second),
+        (one.replace(epoch=2), second),
+        (two, second),
+    ):
+        assert not version.is_next_assignment(current, groups)
+    assert not version.is_next_assignment((), (one, second))
