State what the verdict cannot tell apart at a full share

Cause: once the old version has no calls, nothing separates a common fault from one of the new version.

Change: a sentence at the test. No rule changes.

--- a/shallotwharf/components/move/comparison.py
+++ b/shallotwharf/components/move/comparison.py
@@ -33,7 +33,8 @@
     which version each fell, which holds whatever the common rate does.
     `absolute` compares the new version's rate with the bound that the old
     version leaves; it is the one with power when the old version has few
-    calls or none.
+    calls or none. Once the share is full, it cannot tell a fault that would
+    have hit both versions from one of the new version.
     """
 
     __slots__ = ('concurrent', 'absolute')
