Close a hole in the floor after a partition; guard holder groups and shares

Cause: holders of once-only records need to see that there were no groups before the first ones, so a node now publishes version 0 when its floor is 0. The test of restarted control processes then showed a node that had version 2 before and stated floor 0: just after a partition the control process of the own data centre answered first, and after the grace time its answer alone counted, although the others answered milliseconds later. Ruled out: the replicated log's stand-in, which had passed on all versions.

Change: the last resort counts only if no other control process answers within 3 s of it. The ledger accepts holder groups only with the epoch that follows, and no share of a move below the present one. The monotonic clock also runs while a VM is suspended. An answered request is no longer suspected of having crashed its upstream.

--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -61,6 +61,11 @@
 # After this time without a majority of control or floored relays, the
 # control process of the own data centre decides.
 FLOOR_GRACE_MS: typing.Final = 10_000
+# It decides only if no other control process answers within this time after
+# its own answer. Just after a partition ends its answer may be the first to
+# arrive and older than those of the others; a query is repeated to the silent
+# after at most 2 s.
+FLOOR_LOCAL_WAIT_MS: typing.Final = 3000
 
 INCARNATION_BITS: typing.Final = 32
 STAMP_BITS: typing.Final = 32
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -14,7 +14,7 @@
     only after a majority knows it, so that the highest answer is at least
     as high as any version that was active when the query began. After
     `const.FLOOR_GRACE_MS` without a majority the control process of the own
-    data centre decides alone.
+    data centre decides alone, if it is the only one that answers.
     """
 
     __slots__ = (
@@ -25,6 +25,7 @@
         '_purpose',
         '_began_at',
         '_replies',
+        '_local_at',
         '_next_at',
         '_wait_ms',
     )
@@ -42,6 +43,7 @@
         self._purpose = b''
         self._began_at = 0
         self._replies: dict[str, messages.FloorReply] = {}
+        self._local_at = 0
         self._next_at = 0
         self._wait_ms = const.BACKOFF_FIRST_MS
 
@@ -65,10 +67,18 @@
             if process.name not in self._replies
         ]
 
-    def receive(self, sender: str, reply: messages.FloorReply) -> None:
+    def receive(
+        self,
+        sender: str,
+        reply: messages.FloorReply,
+        now: int,
+    ) -> None:
         """Keep an answer to the query that runs."""
-        if self._nonce and reply.nonce == self._nonce:
-            self._replies[sender] = reply
+        if not self._nonce or reply.nonce != self._nonce:
+            return
+        if not self._replies:
+            self._local_at = now
+        self._replies[sender] = reply
 
     def find(self, now: int, purpose: bytes = b'') -> int | None:
         """Return the floor for a purpose once it is known."""
@@ -78,7 +88,7 @@
         if self._control and len(self._replies) >= majority:
             return max(reply.number for reply in self._replies.values())
         if self._nonce and now - self._began_at >= const.FLOOR_GRACE_MS:
-            return self._find_local()
+            return self._find_local(now)
         return None
 
     def _begin(self, now: int, purpose: bytes) -> None:
@@ -89,14 +99,17 @@
         self._next_at = now
         self._wait_ms = const.BACKOFF_FIRST_MS
 
-    def _find_local(self) -> int | None:
-        local = [
-            self._replies[process.name].local_number
+    def _find_local(self, now: int) -> int | None:
+        if now - self._local_at < const.FLOOR_LOCAL_WAIT_MS:
+            return None
+        local = {
+            process.name
             for process in self._control
             if process.datacentre == self._datacentre
-            and process.name in self._replies
-        ]
-        return max(local, default=None)
+        }
+        if not self._replies or self._replies.keys() - local:
+            return None
+        return max(reply.local_number for reply in self._replies.values())
 
 
 class RelayFloors:
@@ -196,5 +209,5 @@
     ) -> None:
         """Note the answer of a control process."""
         if self.number is None:
-            self._control.receive(sender, reply)
+            self._control.receive(sender, reply, now)
             self.number = self._control.find(now)
--- a/shallotwharf/components/delivery/relay.py
+++ b/shallotwharf/components/delivery/relay.py
@@ -215,7 +215,7 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note a floor that control states."""
-        self._control_floor.receive(sender, message)
+        self._control_floor.receive(sender, message, now)
         return self._seek_floor(now)
 
     def answer_floor(
--- a/shallotwharf/components/delivery/subscriber.py
+++ b/shallotwharf/components/delivery/subscriber.py
@@ -41,6 +41,7 @@
         '_incarnation',
         '_sequence',
         '_beat_at',
+        '_applied_empty',
     )
 
     name = 'subscriber'
@@ -81,6 +82,7 @@
         self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._sequence = 0
         self._beat_at = 0
+        self._applied_empty = False
 
     @property
     def active(self) -> version.Version:
@@ -213,8 +215,27 @@
     def _apply(self, now: int) -> list[effects.Effect]:
         """Swap the candidate in if it may be applied."""
         candidate = self._fetcher.newest
-        if not self._may_apply(candidate.number):
+        step = self._apply_empty()
+        if self._may_apply(candidate.number):
+            step.extend(self._apply_candidate(candidate, now))
+        return step
+
+    def _apply_empty(self) -> list[effects.Effect]:
+        """Publish version 0 once if no version was ever accepted.
+
+        Holders of once-only records need to know that there were no groups
+        before the first ones that they see.
+        """
+        if self._floor.number != 0 or self._applied_empty:
             return []
+        self._applied_empty = True
+        return [effects.Publish(tables_messages.VersionApplied(version.EMPTY))]
+
+    def _apply_candidate(
+        self,
+        candidate: version.Version,
+        now: int,
+    ) -> list[effects.Effect]:
         try:
             document.check_tables(candidate.tables)
         except ExceptionGroup as group:
--- a/shallotwharf/components/ledger/holders.py
+++ b/shallotwharf/components/ledger/holders.py
@@ -11,7 +11,8 @@
     """Return why groups may not replace the current ones; empty if none.
 
     One member of a group may change at a time: a new member has none of the
-    records, and the other two are the majority that has them.
+    records, and the other two are the majority that has them. The epochs keep
+    a command of a deposed leader from being applied late.
     """
     names = [group.name for group in groups]
     if len(set(names)) < len(names):
@@ -22,20 +23,6 @@
             members,
         ):
             return f'group {group.name} needs {const.GROUP_SIZE} members'
-    return _find_large_change(current, groups)
-
-
-def _find_large_change(
-    current: tuple[version.HolderGroup, ...],
-    groups: tuple[version.HolderGroup, ...],
-) -> str:
-    before = {group.name: group for group in current}
-    for group in groups:
-        replaced = before.get(group.name)
-        if replaced is None:
-            continue
-        kept = {member.name for member in replaced.members}
-        added = [member for member in group.members if member.name not in kept]
-        if len(added) > 1:
-            return f'group {group.name} changes more than one member'
+    if not version.is_next_assignment(current, groups):
+        return 'the groups do not follow from the current ones'
     return ''
--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -213,7 +213,7 @@
         move = moves.find_move(self.current, command.move_id)
         if move is None or not moves.is_open(move):
             return answers.refuse(const.REASON_MOVE, command.move_id)
-        if not moves.is_valid_step(command):
+        if not moves.is_valid_step(move, command):
             return answers.refuse(
                 const.REASON_STEP,
                 f'share={command.share} state={command.state}',
--- a/shallotwharf/components/ledger/moves.py
+++ b/shallotwharf/components/ledger/moves.py
@@ -54,10 +54,11 @@
     return move is not None and move.state not in _FINAL_STATES
 
 
-def is_valid_step(command: messages.StepMove) -> bool:
-    """Tell whether share and state are such a move can have."""
+def is_valid_step(move: version.Move, command: messages.StepMove) -> bool:
+    """Tell whether a move can have share and state; the share never falls."""
     return (
-        0 <= command.share <= const.FULL_SHARE and command.state in _STEP_STATES
+        move.share <= command.share <= const.FULL_SHARE
+        and command.state in _STEP_STATES
     )
 
 
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -150,6 +150,10 @@
         if attempt not in self._evidence.running:
             self._queue.remove(attempt)
             return
+        answered = result.outcome == calls.OUTCOME_ANSWERED
+        if answered and not self._poison.is_empty():
+            digest = self._evidence.running.compute_digest(attempt)
+            self._poison.clear(digest)
         self.outbox.extend(self._evidence.end(attempt, result.outcome, now))
         if self._queue:
             self._pump(now)
--- a/shallotwharf/components/upstream/running.py
+++ b/shallotwharf/components/upstream/running.py
@@ -32,6 +32,10 @@
         """Add a request that starts now."""
         self._running[attempt] = _Running(request, now)
 
+    def compute_digest(self, attempt: str) -> bytes:
+        """Return the digest of a request that runs."""
+        return self._running[attempt].request.compute_digest()
+
     def remove(self, attempt: str) -> None:
         """Remove a request."""
         self._running.pop(attempt)
--- a/shallotwharf/core/callports.py
+++ b/shallotwharf/core/callports.py
@@ -93,6 +93,10 @@
     def refuses(self, digest: bytes, now: int) -> bool:
         """Tell whether a request of this digest is refused."""
 
+    @abc.abstractmethod
+    def clear(self, digest: bytes) -> None:
+        """Note that the upstream answered a request of this digest."""
+
 
 class EmptyPoisonList(PoisonList):
     """Refuses nothing."""
@@ -107,6 +111,9 @@
         """Refuse nothing."""
         return False
 
+    def clear(self, digest: bytes) -> None:
+        """Keep nothing."""
+
 
 class Observation(records.Record):
     """The result of an attempt that may have run, at the choosing node.
--- a/shallotwharf/core/clock.py
+++ b/shallotwharf/core/clock.py
@@ -31,7 +31,10 @@
 
     def read(self) -> int:
         """Return monotonic milliseconds."""
-        return time.monotonic_ns() // _NANOSECONDS_PER_MS
+        # This clock also runs while the VM is suspended, so that no lease or
+        # grant outlives its time.
+        now_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return now_ns // _NANOSECONDS_PER_MS
 
     def read_wall(self) -> int:
         """Return milliseconds since the Unix epoch."""
--- a/tests/components/upstream/test_gate.py
+++ b/tests/components/upstream/test_gate.py
@@ -232,6 +232,9 @@
     def refuses(self, digest, now):
         return digest == make_request('bad').compute_digest()
 
+    def clear(self, digest):
+        raise AssertionError('no request was answered')
+
 
 @pytest.mark.parametrize(
     ('reason', 'build'),
