--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,12 @@
 binary: $(STAMP)
 	packaging/build.sh $(BIN)/python build/shallotwharf
 
+measure: $(STAMP)
+	$(BIN)/python -m measurements.latency --calls 2000 --rate 0 \
+		--variants direct,byte_relay,one_node,two_nodes
+	$(BIN)/python -m measurements.fleet --sizes 6,12,24 --json build/fleet.json
+	$(BIN)/python -m measurements.moves --seed 1 --count 5
+	$(BIN)/python -m measurements.admission --seed 1
+
 clean:
 	rm -rf build dist
--- a/shallotwharf/measure/move_cases.py
+++ b/measurements/move_cases.py
@@ -5,9 +5,9 @@
 import typing
 from collections import abc
 
+from measurements import move_kinds
 from shallotwharf.components.tables import pool, route, version
 from shallotwharf.core import clock, records
-from shallotwharf.measure import move_kinds
 
 POOL: typing.Final = 'measured'
 DUE_MS: typing.Final = 10 * clock.MINUTE_MS
--- a/shallotwharf/measure/move_policies.py
+++ b/measurements/move_policies.py
@@ -6,11 +6,11 @@
 import typing
 from collections import abc as collections_abc
 
+from measurements import move_kinds, move_world
 from shallotwharf.components.move import evidence
 from shallotwharf.components.tables import const as tables_const
 from shallotwharf.components.tables import version
 from shallotwharf.core import clock
-from shallotwharf.measure import move_kinds, move_world
 
 _FULL: typing.Final = tables_const.FULL_SHARE
 
--- a/shallotwharf/measure/moves.py
+++ b/measurements/moves.py
@@ -1,6 +1,6 @@
 """Measurement of moves: good versions in time, bad versions taken back.
 
-Run `python -m shallotwharf.measure.moves --help` for the options.
+Run `python -m measurements.moves --help` for the options.
 """
 
 import random
@@ -8,16 +8,16 @@
 
 import typer
 
-from shallotwharf.components.move import const
-from shallotwharf.components.tables import const as tables_const
-from shallotwharf.components.tables import version
-from shallotwharf.core import clock
-from shallotwharf.measure import (
+from measurements import (
     move_cases,
     move_kinds,
     move_policies,
     move_report,
 )
+from shallotwharf.components.move import const
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import version
+from shallotwharf.core import clock
 
 POLICY_TESTED: typing.Final = 'tested'
 POLICY_FIXED: typing.Final = 'fixed steps'
--- a/shallotwharf/measure/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Seeded measurements of policies on a manual clock."""
--- a/tests/components/move/world.py
+++ b/tests/components/move/world.py
@@ -1,5 +1,6 @@
 """Two data centres and control with a fake log and fake gossip."""
 
+from measurements import move_world
 from shallotwharf.components.ledger import messages as ledger_messages
 from shallotwharf.components.membership import messages as membership_messages
 from shallotwharf.components.move import director, evidence, watcher
@@ -7,7 +8,6 @@
 from shallotwharf.components.tables import messages as tables_messages
 from shallotwharf.components.tables import pool, route, version
 from shallotwharf.core import aggregate, effects, messages
-from shallotwharf.measure import move_world
 from tests import fakes
 
 CONTROL = ('c1', 'c2')
--- a/tests/measure/test_moves.py
+++ b/tests/measurements/test_moves.py
@@ -9,8 +9,8 @@
 
 import pytest
 
+from measurements import move_cases, move_report, moves
 from shallotwharf.components.move import const
-from shallotwharf.measure import move_cases, move_report, moves
 
 CASES = [
     # A node in each data centre, which halves the work.
