Say once what describes an upstream; give errors and measurements slots

Cause: the description of an upstream stood twice, as a message and as a record, and some plain classes had no slots.

Change: UpstreamStarted carries the description; errors and the classes of the measurements have slots.

Measured: 160 tests of the parts that changed pass.

--- a/measurements/admission.py
+++ b/measurements/admission.py
@@ -37,6 +37,13 @@
 class World:
     """Events in order of time; equal times in order of their making."""
 
+    __slots__ = (
+        'now',
+        'random',
+        'events',
+        'sequence',
+    )
+
     def __init__(self, seed):
         self.now = 0
         self.random = random.Random(seed)
@@ -57,6 +64,12 @@
 class Server:
     """An upstream that runs `SLOTS` at once and queues the rest."""
 
+    __slots__ = (
+        'world',
+        'running',
+        'queue',
+    )
+
     def __init__(self, world):
         self.world = world
         self.running = 0
@@ -81,6 +94,15 @@
 class GatedServer:
     """An upstream behind its gate."""
 
+    __slots__ = (
+        'world',
+        'server',
+        'share',
+        'waiting',
+        'member',
+        'gate',
+    )
+
     def __init__(self, world, number, share):
         self.world = world
         self.server = Server(world)
@@ -93,7 +115,8 @@
             callports.EmptyPoisonList(),
             0,
         )
-        self.tell(upstream.UpstreamStarted('s', 'v', '', 1, SLOTS, 0, ''))
+        described = callports.UpstreamDescription('s', 'v', '', 1, SLOTS, 0, '')
+        self.tell(upstream.UpstreamStarted(described))
 
     def tell(self, message):
         self.run(self.gate.handle(message, '', self.world.now))
@@ -135,6 +158,14 @@
 class Plain:
     """An upstream without a gate; it announces its spare slots all the same."""
 
+    __slots__ = (
+        'world',
+        'server',
+        'share',
+        'member',
+        'generation',
+    )
+
     def __init__(self, world, number, share):
         self.world = world
         self.server = Server(world)
--- a/measurements/fleet.py
+++ b/measurements/fleet.py
@@ -50,6 +50,12 @@
 class Fleet:
     """A site with an upstream's node in each of several data centres."""
 
+    __slots__ = (
+        'site',
+        'random',
+        'number',
+    )
+
     def __init__(self, folder, nodes, control_count=3):
         names = {f'n{row}': f'dc-{row % DATACENTRES}' for row in range(nodes)}
         self.site = site_module.Site(folder, names, control_count)
--- a/measurements/latency.py
+++ b/measurements/latency.py
@@ -73,6 +73,13 @@
 class Relay(asyncio.Protocol):
     """Copies bytes to the upstream and back."""
 
+    __slots__ = (
+        'port',
+        'other',
+        'transport',
+        'opening',
+    )
+
     def __init__(self, port):
         self.port = port
         self.other = None
@@ -94,6 +101,8 @@
 
 
 class Back(asyncio.Protocol):
+    __slots__ = ('front',)
+
     def __init__(self, front):
         self.front = front
 
@@ -104,6 +113,8 @@
 class Forwarder(httputil.HTTPServerConnectionDelegate):
     """Tornado's server with one of the outbound clients."""
 
+    __slots__ = ('send',)
+
     def __init__(self, send):
         self.send = send
 
@@ -115,6 +126,13 @@
 
 
 class Forwarded(httputil.HTTPMessageDelegate):
+    __slots__ = (
+        'connection',
+        'send',
+        'start_line',
+        'headers',
+    )
+
     def __init__(self, connection, send):
         self.connection = connection
         self.send = send
@@ -156,6 +174,14 @@
 class CurlMulti:
     """Pycurl's multi interface on the event loop, with handles reused."""
 
+    __slots__ = (
+        'port',
+        'loop',
+        'multi',
+        'free',
+        'timer',
+    )
+
     def __init__(self, port):
         self.port = port
         self.loop = asyncio.get_running_loop()
@@ -228,6 +254,11 @@
 class Http1Client(httputil.HTTPMessageDelegate):
     """Tornado's HTTP1Connection as a client on one persistent stream."""
 
+    __slots__ = (
+        'port',
+        'free',
+    )
+
     def __init__(self, port):
         self.port = port
         self.free = []
@@ -243,6 +274,16 @@
 
 
 class Http1Stream(httputil.HTTPMessageDelegate):
+    __slots__ = (
+        'client',
+        'stream',
+        'http',
+        'answer',
+        'status',
+        'headers',
+        'body',
+    )
+
     def __init__(self, client):
         self.client = client
         self.stream = iostream.IOStream(socket.socket())
--- a/measurements/site.py
+++ b/measurements/site.py
@@ -60,6 +60,13 @@
 class Site:
     """Control processes and nodes in data centres, each its own process."""
 
+    __slots__ = (
+        'folder',
+        'running',
+        'control',
+        'nodes',
+    )
+
     def __init__(self, folder: pathlib.Path, datacentres, control_count=3):
         self.folder = folder
         self.running = {}
--- a/shallotwharf/components/upstream/announcer.py
+++ b/shallotwharf/components/upstream/announcer.py
@@ -2,8 +2,7 @@
 
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.upstream import const
-from shallotwharf.components.upstream import messages as upstream
-from shallotwharf.core import effects
+from shallotwharf.core import callports, effects
 
 
 class Announcer:
@@ -41,7 +40,7 @@
 
     def note(
         self,
-        started: upstream.UpstreamStarted,
+        started: callports.UpstreamDescription,
         state: str,
         spare: int,
         now: int,
@@ -68,7 +67,7 @@
 
     def _publish(
         self,
-        started: upstream.UpstreamStarted,
+        started: callports.UpstreamDescription,
         state: str,
         spare: int,
     ) -> effects.Effect:
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -76,7 +76,7 @@
         now: int,
     ) -> list[effects.Effect]:
         """Offer the slots of an upstream, growing over its warm-up."""
-        if self._offer.start(message, now):
+        if self._offer.start(message.described, now):
             self._evidence.restart()
         return self._settle(now)
 
@@ -198,7 +198,10 @@
         now: int,
     ) -> calls.Admission:
         self._evidence.begin(step.attempt, request, now)
-        started = typing.cast(upstream.UpstreamStarted, self._offer.started)
+        started = typing.cast(
+            callports.UpstreamDescription,
+            self._offer.started,
+        )
         return calls.Admitted(started.host, started.port)
 
     def _wait(
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -2,8 +2,7 @@
 
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.upstream import const
-from shallotwharf.components.upstream import messages as upstream
-from shallotwharf.core import calls
+from shallotwharf.core import callports, calls
 
 
 class Offer:
@@ -17,11 +16,11 @@
     __slots__ = ('started', 'state', '_warm_from')
 
     def __init__(self) -> None:
-        self.started: upstream.UpstreamStarted | None = None
+        self.started: callports.UpstreamDescription | None = None
         self.state = membership.UPSTREAM_GONE
         self._warm_from = 0
 
-    def start(self, started: upstream.UpstreamStarted, now: int) -> bool:
+    def start(self, started: callports.UpstreamDescription, now: int) -> bool:
         """Start the warm-up; return False for a repeated announcement."""
         if started == self.started:
             return False
--- a/shallotwharf/core/errors.py
+++ b/shallotwharf/core/errors.py
@@ -12,6 +12,8 @@
         peer: the process, address or file on the other side; empty if none.
     """
 
+    __slots__ = ('detail', 'step', 'peer')
+
     def __init__(self, detail: str, step: str, peer: str = '') -> None:
         super().__init__(detail)
         self.detail = detail
--- a/shallotwharf/roles/callpath.py
+++ b/shallotwharf/roles/callpath.py
@@ -215,7 +215,7 @@
 
     def announce(self, described: callports.UpstreamDescription) -> None:
         """Note that the upstream serves."""
-        self._deliver(upstream.UpstreamStarted(*described.read_fields()))
+        self._deliver(upstream.UpstreamStarted(described))
 
     def drain(self) -> None:
         """Note that the upstream takes no new work."""
