Take the ports of test processes from a range of their own

Cause: fleets of 24 and 48 nodes did not all come up in two runs. Ports were probed one group at a time among those that the system also gives to outgoing connections, so that one could be found twice or be taken before its process started: for 150 ports of 28,000 that is likely. Not ruled out: a fault of the delivery, since the logs of the failed runs were gone.

Change: ports come from a range below, in sequence.

--- a/measurements/site.py
+++ b/measurements/site.py
@@ -1,6 +1,6 @@
 """Real processes of the program on loopback, for tests and measurements."""
 
-import contextlib
+import itertools
 import json
 import pathlib
 import signal
@@ -14,12 +14,27 @@
 HOST = '127.0.0.1'
 
 
+# Below the ports that the system gives to outgoing connections: of those, one
+# could be taken between the probe and the start of the process, and the same
+# one could be found twice.
+_FIRST_PORT = 20_000
+_LAST_PORT = 32_000
+_ports = itertools.cycle(range(_FIRST_PORT, _LAST_PORT))
+
+
 def find_ports(count):
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((HOST, 0))
-        return [probe.getsockname()[1] for probe in probes]
+    """Return free ports, none of which was returned shortly before."""
+    found = []
+    while len(found) < count:
+        port = next(_ports)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def request(port, path, method='GET', body=None, headers=None):
