--- a/shallotwharf/adapters/answers.py
+++ b/shallotwharf/adapters/answers.py
@@ -8,7 +8,7 @@
 from tornado import httputil
 
 from shallotwharf.adapters import headers
-from shallotwharf.core import calls
+from shallotwharf.core import calls, clock
 
 _PHRASE_UNKNOWN: typing.Final = 'Unknown'
 # Larger bodies are written on their own, so that they are not copied.
@@ -39,8 +39,9 @@
     refusal = httputil.HTTPHeaders()
     refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
     refusal[headers.CONTENT_LENGTH] = str(len(body))
-    if step.retry_after_s:
-        refusal[headers.RETRY_AFTER] = str(step.retry_after_s)
+    if step.retry_after_ms:
+        seconds = -(-step.retry_after_ms // clock.SECOND_MS)
+        refusal[headers.RETRY_AFTER] = str(seconds)
     if forwarded:
         refusal[headers.OUTCOME] = headers.write_outcome(step)
     return Answer(
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -12,6 +12,7 @@
     connection,
     headers,
     services,
+    vocabulary,
 )
 from shallotwharf.core import calls, clock
 
@@ -30,6 +31,7 @@
         '_answer',
         '_outgoing',
         '_carrier',
+        '_instance',
         '_timer',
         '_guarded',
         '_open',
@@ -47,12 +49,17 @@
         self._responder = responder
         self._start_line = start_line
         self._headers = request_headers
-        self._request = headers.read_request(start_line, request_headers, body)
+        self._request = shared.vocabulary.read_request(
+            start_line,
+            request_headers,
+            body,
+        )
         self._plan = shared.conductor.plan(self._request)
         self._step: calls.Enter | calls.Forward | None = None
         self._answer: answers.Answer | None = None
         self._outgoing: connection.Outgoing | None = None
         self._carrier: connection.Connection | None = None
+        self._instance = ''
         self._timer: asyncio.TimerHandle | None = None
         self._guarded = False
         self._open = True
@@ -62,6 +69,8 @@
         self._services.active += 1
         headers.strip_hop_headers(self._headers)
         headers.strip_own_headers(self._headers)
+        if not self._is_forwarded():
+            self._services.vocabulary.mark_origin(self._headers)
         if self._request.body:
             length = str(len(self._request.body))
             self._headers[headers.CONTENT_LENGTH] = length
@@ -96,7 +105,13 @@
         step = typing.cast(calls.Enter, self._step)
         if isinstance(admission, calls.Admitted):
             headers.strip_own_headers(self._headers)
-            self._send(admission.host, admission.port, self._end_entered)
+            self._instance = admission.instance
+            self._send(
+                admission.host,
+                admission.port,
+                self._end_entered,
+                self._owns_upstream_answer,
+            )
         elif isinstance(admission, calls.Refused):
             self._resume(
                 calls.Result(calls.OUTCOME_REFUSED, admission.reason),
@@ -109,15 +124,22 @@
         now = self._services.clock.read()
         self._set_timer(step.deadline_at, now, self._expire)
         self._headers[headers.FORWARDED] = step.forwarded
-        self._send(step.host, step.port, self._end_forwarded)
+        self._send(step.host, step.port, self._end_forwarded, _own_answer)
 
-    def _send(self, host: str, port: int, done: connection.Done) -> None:
+    def _send(
+        self,
+        host: str,
+        port: int,
+        done: connection.Done,
+        owns: connection.Owns,
+    ) -> None:
         self._outgoing = connection.Outgoing(
             self._start_line,
             self._headers,
             self._request.body,
             self._prepare,
             done,
+            owns,
         )
         self._carrier = self._services.outbound.send(
             host,
@@ -131,19 +153,34 @@
         now = self._services.clock.read()
         if isinstance(step, calls.Forward):
             limit_at = step.deadline_at - step.cut_ms
-        elif step is not None:
-            limit_at = step.deadline_at
-            if now >= step.start_by:
-                return False
-        else:
+            headers.write_attempt(
+                self._headers,
+                step.attempt,
+                limit_at - now,
+                step.retried,
+            )
+            return now < limit_at
+        if step is None or now >= min(step.start_by, step.deadline_at):
             return False
-        headers.write_attempt(
+        self._services.vocabulary.write_attempt(
+            self._headers,
+            vocabulary.UpstreamAttempt(
+                step.attempt,
+                step.deadline_at - now,
+                step.retried,
+                self._instance,
+            ),
+        )
+        return True
+
+    def _owns_upstream_answer(
+        self,
+        answer_headers: httputil.HTTPHeaders,
+    ) -> bool:
+        return self._services.vocabulary.owns_answer(
             self._headers,
-            step.attempt,
-            limit_at - now,
-            step.retried,
+            answer_headers,
         )
-        return now < limit_at
 
     def _end_entered(
         self,
@@ -152,9 +189,13 @@
     ) -> None:
         step = typing.cast(calls.Enter, self._step)
         now = self._services.clock.read()
-        self._services.gate.leave(step.attempt, ended, now)
         if answer is not None:
             headers.strip_own_headers(answer.headers)
+            ended = self._services.vocabulary.read_result(
+                answer.status,
+                answer.headers,
+            )
+        self._services.gate.leave(step.attempt, ended, now)
         self._answer = answer
         self._resume(ended)
 
@@ -216,7 +257,12 @@
     def _respond(self, step: calls.Respond) -> None:
         if self._guarded:
             self._services.guard.finish(self._request, None, step.not_run)
-        self._write(answers.build_refusal(step, forwarded=self._is_forwarded()))
+        if self._is_forwarded():
+            self._write(answers.build_refusal(step, forwarded=True))
+            return
+        self._write(
+            self._services.vocabulary.build_refusal(step, self._headers),
+        )
 
     def _replay(self, step: calls.Replay) -> None:
         replayed = httputil.HTTPHeaders()
@@ -236,6 +282,8 @@
         self._close()
         if self._is_forwarded():
             answer.headers[headers.ATTEMPT] = self._request.attempt
+            spare = self._services.gate.count_spare(self._services.clock.read())
+            answer.headers[headers.SPARE] = str(spare)
         self._responder.respond(answer)
 
     def _is_forwarded(self) -> bool:
@@ -282,6 +330,11 @@
             self._timer.cancel()
 
 
+def _own_answer(_answer_headers: httputil.HTTPHeaders) -> bool:
+    """Take any answer of a node: its attempt id is checked afterwards."""
+    return True
+
+
 # How the exchange carries out each step.
 _STEPS: typing.Final[typing.Any] = types.MappingProxyType(
     {
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -10,6 +10,8 @@
 ATTEMPT: typing.Final = 'Shallotwharf-Attempt'
 RETRIED: typing.Final = 'Shallotwharf-Retried'
 FORWARDED: typing.Final = 'Shallotwharf-Forwarded'
+# On an answer of a node to a node: slots that its gate has free.
+SPARE: typing.Final = 'Shallotwharf-Spare'
 # On an answer of a node to a node: how the attempt ended, and the reason.
 OUTCOME: typing.Final = 'Shallotwharf-Outcome'
 KEY: typing.Final = 'Idempotency-Key'
@@ -35,7 +37,7 @@
         _EXPECT,
     )
 )
-_OWN: typing.Final = frozenset((ATTEMPT, FORWARDED, OUTCOME))
+_OWN: typing.Final = frozenset((ATTEMPT, FORWARDED, OUTCOME, SPARE))
 CLOSE: typing.Final = 'close'
 _YES: typing.Final = '1'
 _REPORTED: typing.Final = frozenset(
@@ -78,6 +80,18 @@
     return CONNECTION in headers and CLOSE in headers[CONNECTION].lower()
 
 
+def read_keep_alive(headers: httputil.HTTPHeaders) -> float:
+    """Return for how many seconds the peer keeps the connection; 0 if unsaid.
+
+    Source: RFC 2068, section 19.7.1.1.
+    """
+    for part in headers.get('Keep-Alive', '').split(','):
+        name, _, told = part.partition('=')
+        if name.strip().lower() == 'timeout' and told.strip().isdecimal():
+            return float(told)
+    return 0
+
+
 def asks_to_continue(headers: httputil.HTTPHeaders) -> bool:
     """Tell whether the caller waits before it sends the body."""
     return _EXPECT in headers and headers[_EXPECT].lower() == '100-continue'
@@ -113,9 +127,15 @@
         headers.get(ATTEMPT, ''),
         headers.get(FORWARDED, ''),
         headers.get(KEY, ''),
+        read_host(headers),
     )
 
 
+def read_host(headers: httputil.HTTPHeaders) -> str:
+    """Return the host that a request is for, without a port."""
+    return headers.get('Host', '').partition(':')[0].lower()
+
+
 def write_attempt(
     headers: httputil.HTTPHeaders,
     attempt: str,
@@ -137,13 +157,15 @@
     """Return the result of an attempt that another node answered."""
     if headers.get(ATTEMPT) != attempt:
         return calls.Result(calls.OUTCOME_CROSSED, 'attempt_mismatch')
+    told = headers.get(SPARE, '')
+    spare = int(told) if told.isdecimal() else -1
     reported = headers.get(OUTCOME)
     if reported is None:
-        return calls.Result(calls.OUTCOME_ANSWERED, '', status)
+        return calls.Result(calls.OUTCOME_ANSWERED, '', status, spare)
     outcome, _, reason = reported.partition(' ')
     if outcome not in _REPORTED:
         return calls.Result(calls.OUTCOME_CROSSED, 'unknown_outcome')
-    return calls.Result(outcome, reason)
+    return calls.Result(outcome, reason, spare=spare)
 
 
 def write_outcome(step: calls.Respond) -> str:
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -50,6 +50,7 @@
         'services',
         'max_body_bytes',
         'closing',
+        'is_public',
         '_connections',
         '_server',
     )
@@ -58,16 +59,20 @@
         self,
         shared: services.Services,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        is_public: bool = False,
     ) -> None:
         """Create a server; it does not listen yet.
 
         Args:
             shared: by all exchanges.
             max_body_bytes: a longer request is answered with 413.
+            is_public: whether only callers connect, so that what nodes say
+                to each other does not count.
         """
         self.services = shared
         self.max_body_bytes = max_body_bytes
         self.closing = False
+        self.is_public = is_public
         self._connections: set[CallConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -203,6 +208,8 @@
     def receive_end(self, body: bytes) -> None:
         """Start the exchange of a whole request."""
         self._stop_timer()
+        if self._server.is_public:
+            headers.strip_own_headers(self._headers)
         started = exchange.Exchange(
             self._server.services,
             self,
--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -11,6 +11,8 @@
 # Shorter than usual idle timeouts of HTTP servers, so that a request seldom
 # meets a connection that the upstream is about to close.
 IDLE_LIMIT_SECONDS: typing.Final = 1.5
+# The peer counts from when it sent the answer, and closes a little early.
+KEEP_ALIVE_MARGIN_SECONDS: typing.Final = 1.0
 IDLE_CONNECTION_LIMIT: typing.Final = 256
 DEFAULT_MAX_ANSWER_BYTES: typing.Final = 16_777_216
 
@@ -21,6 +23,7 @@
     __slots__ = (
         'max_answer_bytes',
         'counters',
+        '_idle_limit',
         '_host',
         '_port',
         '_loop',
@@ -34,9 +37,11 @@
         port: int,
         max_answer_bytes: int,
         process_counters: counters.Counters,
+        idle_limit_seconds: float,
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self.counters = process_counters
+        self._idle_limit = idle_limit_seconds
         self._host = host
         self._port = port
         self._loop = asyncio.get_running_loop()
@@ -45,15 +50,21 @@
 
     def send(self, outgoing: connection.Outgoing) -> connection.Connection:
         """Send on an idle connection or on a new one."""
-        limit = self._loop.time() - IDLE_LIMIT_SECONDS
+        now = self._loop.time()
         while self._idle:
             idle = self._idle.pop()
-            if idle.idle_since >= limit and not idle.is_closed():
+            if not idle.is_closed() and self._is_fresh(idle, now):
                 idle.send(outgoing)
                 return idle
             idle.close()
         return self._open(outgoing)
 
+    def _is_fresh(self, idle: connection.Connection, now: float) -> bool:
+        limit = self._idle_limit
+        if idle.idle_limit:
+            limit = min(limit, idle.idle_limit - KEEP_ALIVE_MARGIN_SECONDS)
+        return now - idle.idle_since <= limit
+
     def add_idle(self, idle: connection.Connection) -> None:
         """Keep a connection for the next request."""
         idle.idle_since = self._loop.time()
@@ -95,15 +106,17 @@
 class Outbound:
     """Connection pools by address."""
 
-    __slots__ = ('_counters', '_max_answer_bytes', '_pools')
+    __slots__ = ('_counters', '_max_answer_bytes', '_idle_limit', '_pools')
 
     def __init__(
         self,
         process_counters: counters.Counters,
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+        idle_limit_seconds: float = IDLE_LIMIT_SECONDS,
     ) -> None:
         self._counters = process_counters
         self._max_answer_bytes = max_answer_bytes
+        self._idle_limit = idle_limit_seconds
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
     def send(
@@ -117,6 +130,7 @@
                 port,
                 self._max_answer_bytes,
                 self._counters,
+                self._idle_limit,
             )
             self._pools[host, port] = pool
         return pool.send(outgoing)
--- a/shallotwharf/adapters/services.py
+++ b/shallotwharf/adapters/services.py
@@ -3,7 +3,7 @@
 import abc
 import asyncio
 
-from shallotwharf.adapters import answers, outbound, waiting
+from shallotwharf.adapters import answers, outbound, vocabulary, waiting
 from shallotwharf.core import callports, clock, counters
 
 
@@ -18,6 +18,7 @@
         'waiting',
         'outbound',
         'counters',
+        'vocabulary',
         'loop',
         'active',
     )
@@ -31,6 +32,7 @@
         waiting_requests: waiting.WaitingRequests,
         sender: outbound.Outbound,
         process_counters: counters.Counters,
+        spoken: vocabulary.Vocabulary,
     ) -> None:
         self.clock = process_clock
         self.conductor = conductor
@@ -39,6 +41,7 @@
         self.waiting = waiting_requests
         self.outbound = sender
         self.counters = process_counters
+        self.vocabulary = spoken
         self.loop = asyncio.get_running_loop()
         self.active = 0
 
--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -172,6 +172,12 @@
         self._is_waiting = False
         self._advance()
 
+    def finish(self) -> None:
+        """End the message that ends with its connection."""
+        if self._messages and self._messages[-1].has_head:
+            self._messages[-1].is_whole = True
+            self._advance()
+
     def stop(self) -> None:
         """Hand over nothing more."""
         self._is_stopped = True
--- a/shallotwharf/components/call/budget.py
+++ b/shallotwharf/components/call/budget.py
@@ -1,27 +1,79 @@
 """Budget of retries."""
 
 from shallotwharf.components.call import const
-from shallotwharf.core import clock
+from shallotwharf.core import clock, records
+
+
+class Limits(records.Record):
+    """How many retries a pool may cause.
+
+    Attributes:
+        per_call: retries that each call allows.
+        per_second: retries allowed a second besides.
+        cap: retries that may be saved up.
+        is_shared: whether `per_second` and `cap` are those of all nodes
+            together; each node then takes its part.
+        free_refusals: attempts of a call that may be refused on the way
+            to an upstream without counting as retries.
+    """
+
+    __slots__ = (
+        'per_call',
+        'per_second',
+        'cap',
+        'is_shared',
+        'free_refusals',
+    )
+
+    def __init__(
+        self,
+        per_call: float = const.BUDGET_PER_CALL,
+        per_second: float = const.BUDGET_PER_SECOND,
+        cap: float = const.BUDGET_CAP,
+        is_shared: bool = False,
+        free_refusals: int = 0,
+    ) -> None:
+        self.per_call = per_call
+        self.per_second = per_second
+        self.cap = cap
+        self.is_shared = is_shared
+        self.free_refusals = free_refusals
+
+    def divide(self, nodes: int) -> 'Limits':
+        """Return the part of one node."""
+        if not self.is_shared:
+            return self
+        parts = max(nodes, 1)
+        return Limits(
+            self.per_call,
+            self.per_second / parts,
+            max(self.cap / parts, 1),
+            free_refusals=self.free_refusals,
+        )
 
 
 class RetryBudget:
     """Tokens for retries: a share of the calls and a minimum per second.
 
-    Within any period, the retries are at most `BUDGET_PER_CALL` of its
-    calls, plus `BUDGET_PER_SECOND` of its seconds, plus `BUDGET_CAP`.
+    Within any period, the retries are at most `per_call` of its calls, plus
+    `per_second` of its seconds, plus `cap`.
+
+    Attributes:
+        limits: of this node.
     """
 
-    __slots__ = ('_tokens', '_read_at')
+    __slots__ = ('limits', '_tokens', '_read_at')
 
-    def __init__(self, now: int) -> None:
-        self._tokens = const.BUDGET_PER_SECOND
+    def __init__(self, now: int, limits: Limits | None = None) -> None:
+        self.limits = limits or Limits()
+        self._tokens = min(self.limits.per_second, self.limits.cap)
         self._read_at = now
 
     def note_call(self) -> None:
         """Add the share of a call that is not itself a retry."""
         self._tokens = min(
-            self._tokens + const.BUDGET_PER_CALL,
-            const.BUDGET_CAP,
+            self._tokens + self.limits.per_call,
+            self.limits.cap,
         )
 
     def take(self, now: int) -> bool:
@@ -29,8 +81,8 @@
         seconds = (now - self._read_at) / clock.SECOND_MS
         self._read_at = now
         self._tokens = min(
-            self._tokens + seconds * const.BUDGET_PER_SECOND,
-            const.BUDGET_CAP,
+            self._tokens + seconds * self.limits.per_second,
+            self.limits.cap,
         )
         if self._tokens < 1:
             return False
--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -33,6 +33,8 @@
         '_version',
         '_index',
         '_fences',
+        '_limits',
+        '_nodes',
     )
 
     name = 'call'
@@ -48,6 +50,7 @@
         id_prefix: str,
         source: random.Random,
         observer: callports.Observer,
+        limits: budget.Limits | None = None,
     ) -> None:
         """Create the caller of a node that has no version yet.
 
@@ -56,6 +59,7 @@
             id_prefix: start of all call ids; differs after a restart.
             source: of random choices.
             observer: gets the result of each attempt.
+            limits: of retries.
         """
         super().__init__()
         self.own_node = node.name
@@ -67,6 +71,8 @@
         self._version = version.EMPTY
         self._fences = fences.Fences()
         self._index = index.RouteIndex(version.EMPTY, {})
+        self._limits = limits or budget.Limits()
+        self._nodes = 1
 
     def start(self, now: int) -> list[effects.Effect]:
         """Do nothing until a version is applied."""
@@ -88,7 +94,7 @@
             pools[row.name] = index.PoolEntry(
                 row,
                 pool_move,
-                known.budget if known else budget.RetryBudget(now),
+                known.budget if known else self._make_budget(now),
                 self._fences.find_fenced(row.name, pool_move),
             )
         self._index = index.RouteIndex(applied, pools)
@@ -99,10 +105,14 @@
         self,
         message: membership.AnnouncementsChanged,
         _sender: str,
-        _now: int,
+        now: int,
     ) -> list[effects.Effect]:
         """Take all upstreams that are announced."""
-        self.directory.replace(message.announcements)
+        self.directory.replace(message.announcements, now)
+        if len(message.announcements) != self._nodes:
+            self._nodes = len(message.announcements)
+            for entry in self._index.pools.values():
+                entry.budget.limits = self._limits.divide(self._nodes)
         return []
 
     def apply_fence(
@@ -139,9 +149,14 @@
             now,
         )
 
-    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
+    def find_route(
+        self,
+        method: str,
+        path: str,
+        host: str = '',
+    ) -> index.RouteEntry | None:
         """Return the route of a request in the current version."""
-        return self._index.find(method, path)
+        return self._index.find(method, path, host)
 
     def has_version(self) -> bool:
         """Tell whether a version was applied."""
@@ -152,6 +167,9 @@
         self._call_count += 1
         return f'{self._id_prefix}-{self._call_count}'
 
+    def _make_budget(self, now: int) -> budget.RetryBudget:
+        return budget.RetryBudget(now, self._limits.divide(self._nodes))
+
     def count(self, name: str) -> None:
         """Add to a counter."""
         self.outbox.append(effects.Count(name))
--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -4,6 +4,9 @@
 from collections import abc
 
 from shallotwharf.components.call import index, targets
+from shallotwharf.components.tables import version
+
+ANY_VERSION = version.ANY_VERSION
 
 
 def choose_version(
@@ -16,14 +19,28 @@
     A version without a share is never returned.
     """
     picked = pool.pick_version(source)
-    if picked is None or directory.find_groups(pool.row.service, picked):
+    if picked is None or find_groups(pool, directory, picked):
         return picked
     for name, _ in pool.shares:
-        if directory.find_groups(pool.row.service, name):
+        if find_groups(pool, directory, name):
             return name
+    if not pool.row.weights and find_groups(pool, directory, ANY_VERSION):
+        return ANY_VERSION
     return None
 
 
+def find_groups(
+    pool: index.PoolEntry,
+    directory: targets.Directory,
+    picked: str,
+) -> list[targets.Group]:
+    """Return the groups of a version that was picked, nearest first."""
+    service = pool.row.service
+    if picked == ANY_VERSION:
+        return directory.find_any(service, pool.excluded)
+    return directory.find_groups(service, picked)
+
+
 def choose_target(
     groups: list[targets.Group],
     tried: abc.Container[str],
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -48,6 +48,8 @@
 # A target that was not reached is left out for as long as members take to
 # suspect its node; one that refused for lack of slots for about a run time.
 AVOID_UNREACHED_MS: typing.Final = 1000
+# It doubles while the target stays out of reach.
+MAX_AVOID_UNREACHED_MS: typing.Final = 8000
 AVOID_REFUSED_MS: typing.Final = 20
 # These reasons last longer: until the announcement arrives, or until the gate
 # tries the upstream again.
@@ -66,4 +68,10 @@
 STATUS_BAD_GATEWAY: typing.Final = 502
 STATUS_UNAVAILABLE: typing.Final = 503
 STATUS_TIMEOUT: typing.Final = 504
-RETRY_AFTER_S: typing.Final = 1
+# Longest time until a refused caller is told to come back; a third of the
+# route's aim where it has one, so that a second try can still be in time.
+RETRY_AFTER_MS: typing.Final = 1000
+RETRY_AFTER_PART: typing.Final = 3
+# An announced number of spare slots is older than one that came with an
+# answer within this time.
+SPARE_LIFETIME_MS: typing.Final = 1000
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -18,7 +18,12 @@
     observer: callports.Observer
 
     @abc.abstractmethod
-    def find_route(self, method: str, path: str) -> index.RouteEntry | None:
+    def find_route(
+        self,
+        method: str,
+        path: str,
+        host: str = '',
+    ) -> index.RouteEntry | None:
         """Return the route of a request in the current version."""
 
     @abc.abstractmethod
--- a/shallotwharf/components/call/index.py
+++ b/shallotwharf/components/call/index.py
@@ -18,9 +18,10 @@
         fenced: versions without traffic.
         shares: versions with traffic and their share, in hundredths of a
             percent; they need not sum to `FULL_SHARE`.
+        excluded: versions that `version.ANY_VERSION` does not stand for.
     """
 
-    __slots__ = ('row', 'move', 'budget', 'fenced', 'shares')
+    __slots__ = ('row', 'move', 'budget', 'fenced', 'shares', 'excluded')
 
     def __init__(
         self,
@@ -37,6 +38,9 @@
     def apply_fences(self, fenced: frozenset[str]) -> None:
         """Give the shares of fenced versions to the others."""
         self.fenced = fenced
+        self.excluded = fenced
+        if self.move is not None and self.move.state != version.STATE_DONE:
+            self.excluded = fenced | {self.move.to_version}
         open_shares = [
             (name, share)
             for name, share in version.compute_shares(
@@ -65,20 +69,36 @@
 
 
 class RouteEntry:
-    """A route with its pool and rank."""
+    """A route with its pools and rank."""
 
-    __slots__ = ('row', 'pool', 'rank')
+    __slots__ = ('row', 'rank', '_pools', '_weights')
 
-    def __init__(self, row: route.Route, pool_entry: PoolEntry) -> None:
+    def __init__(
+        self,
+        row: route.Route,
+        pools: abc.Mapping[str, PoolEntry],
+    ) -> None:
         self.row = row
-        self.pool = pool_entry
         self.rank = row.rank
+        self._pools = [pools[name] for name in row.list_pools()]
+        self._weights = list(row.shares.values())
+
+    @property
+    def pool(self) -> PoolEntry:
+        """Return the first of its pools, for reports."""
+        return self._pools[0]
+
+    def pick_pool(self, source: random.Random) -> PoolEntry:
+        """Return a pool by weight."""
+        if len(self._pools) == 1 or not any(self._weights):
+            return self._pools[0]
+        return source.choices(self._pools, self._weights)[0]
 
 
 class RouteIndex:
-    """Finds the route with the longest path prefix for a method."""
+    """Finds the route with the longest path prefix for host and method."""
 
-    __slots__ = ('pools', '_prefixes', '_lengths')
+    __slots__ = ('pools', '_hosts')
 
     def __init__(
         self,
@@ -86,17 +106,45 @@
         pools: abc.Mapping[str, PoolEntry],
     ) -> None:
         self.pools = pools
-        self._prefixes: dict[str, dict[str, RouteEntry]] = {}
+        hosts: dict[str, list[RouteEntry]] = {}
         for row in applied.tables.routes:
-            entry = RouteEntry(row, pools[row.pool])
-            methods = self._prefixes.setdefault(row.path_prefix, {})
-            for method in row.methods:
+            entry = RouteEntry(row, pools)
+            hosts.setdefault(row.host, []).append(entry)
+        self._hosts = {
+            host: _PrefixIndex(entries) for host, entries in hosts.items()
+        }
+
+    def find(
+        self,
+        method: str,
+        path: str,
+        host: str = '',
+    ) -> RouteEntry | None:
+        """Return the route of a request; those of its host come first."""
+        for name in (host, '') if host else ('',):
+            prefixes = self._hosts.get(name)
+            found = prefixes.find(method, path) if prefixes else None
+            if found is not None:
+                return found
+        return None
+
+
+class _PrefixIndex:
+    """Routes of one host by path prefix and method."""
+
+    __slots__ = ('_prefixes', '_lengths')
+
+    def __init__(self, entries: abc.Iterable[RouteEntry]) -> None:
+        self._prefixes: dict[str, dict[str, RouteEntry]] = {}
+        for entry in entries:
+            methods = self._prefixes.setdefault(entry.row.path_prefix, {})
+            for method in entry.row.methods:
                 methods.setdefault(method, entry)
         lengths = {len(prefix) for prefix in self._prefixes}
         self._lengths = tuple(sorted(lengths, reverse=True))
 
     def find(self, method: str, path: str) -> RouteEntry | None:
-        """Return the route of a request."""
+        """Return the route with the longest prefix."""
         for length in self._lengths:
             methods = self._prefixes.get(path[:length])
             if methods is not None and method in methods:
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -26,10 +26,13 @@
         '_context',
         '_request',
         '_entry',
+        '_pool',
         '_call_id',
         '_deadline_at',
         '_start_by',
         '_attempts',
+        '_arrivals',
+        '_free',
         '_tried',
         '_target',
         '_version',
@@ -44,10 +47,15 @@
         self._context = call_context
         self._request = request
         self._entry: index.RouteEntry | None = None
+        self._pool: index.PoolEntry | None = None
         self._call_id = ''
         self._deadline_at = 0
         self._start_by = const.NO_LIMIT_AT
         self._attempts = 0
+        # Attempts that arrived at an upstream.
+        self._arrivals = 0
+        # Refusals on the way that do not count as retries.
+        self._free = 0
         self._tried: set[str] = set()
         self._target: targets.Target | None = None
         self._version = ''
@@ -58,17 +66,22 @@
     def start(self, now: int) -> calls.Step:
         """Match the route; choose an upstream or ask the guard."""
         request = self._request
-        entry = self._context.find_route(request.method, request.path)
+        entry = self._context.find_route(
+            request.method,
+            request.path,
+            request.host,
+        )
         if entry is None:
             return self._respond_unmatched()
         self._entry = entry
+        self._pool = entry.pick_pool(self._context.random)
         limit_ms = entry.row.timeout_ms
         if request.deadline_ms is not None:
             limit_ms = min(limit_ms, request.deadline_ms)
         self._deadline_at = now + limit_ms
         self._call_id = self._context.make_call_id()
         if not request.retried:
-            entry.pool.budget.note_call()
+            self._pool.budget.note_call()
         if not entry.row.once_only:
             return self._choose(now)
         if not _is_key(request.key):
@@ -95,6 +108,7 @@
         rule = rules.find_rule(result.outcome, entry.row.idempotent)
         self._observe(rule, result, now)
         ran_before = self._may_have_run
+        self._arrivals += int(result.reached)
         if not rule.not_run:
             self._may_have_run = True
         if not rule.status:
@@ -103,7 +117,11 @@
         reason = result.reason or result.outcome
         if not rule.retry or reason in const.FINAL_REASONS:
             return self._respond(rule.status, reason)
-        denied = self._find_denial(now, not rule.not_run and ran_before)
+        denied = self._find_denial(
+            result,
+            now,
+            not rule.not_run and ran_before,
+        )
         if denied:
             self._context.count(f'{const.COUNTER_RETRY_DENIED}{denied}')
             return self._respond(rule.status, reason)
@@ -124,9 +142,13 @@
             raise RuntimeError('no attempt is under way')
         self._target = None
         target.in_flight -= 1
+        if result.spare >= 0:
+            target.note_spare(result.spare, now)
         if result.outcome == calls.OUTCOME_UNREACHED:
-            target.avoid_until = now + const.AVOID_UNREACHED_MS
-        elif result.outcome == calls.OUTCOME_REFUSED:
+            target.note_unreached(now)
+            return target
+        target.note_reached()
+        if result.outcome == calls.OUTCOME_REFUSED:
             target.avoid_until = now + const.AVOID_MS.get(
                 result.reason,
                 const.AVOID_REFUSED_MS,
@@ -141,13 +163,14 @@
     ) -> None:
         entry = self._read_entry()
         duration_ms = now - self._sent_at
-        slow_ms = entry.pool.row.slow_ms
+        pool = self._read_pool()
+        slow_ms = pool.row.slow_ms
         observed = rules.classify(rule, result, duration_ms, slow_ms)
         if observed:
             self._context.observer.observe(
                 callports.Observation(
                     entry.row.name,
-                    entry.pool.row.name,
+                    pool.row.name,
                     self._version,
                     observed,
                     duration_ms,
@@ -155,7 +178,12 @@
                 now,
             )
 
-    def _find_denial(self, now: int, ran_twice: bool) -> str:
+    def _find_denial(
+        self,
+        result: calls.Result,
+        now: int,
+        ran_twice: bool,
+    ) -> str:
         """Return why no retry is allowed; empty if one is.
 
         A request that ended two upstreams is not shown to a third.
@@ -165,22 +193,29 @@
             return const.DENIED_DEEPER
         if ran_twice:
             return const.DENIED_RAN_TWICE
-        if self._attempts > entry.row.retries:
+        budget = self._read_pool().budget
+        is_free = (
+            not result.reached and self._free < budget.limits.free_refusals
+        )
+        self._free += int(is_free)
+        if self._attempts - self._free > entry.row.retries:
             return const.DENIED_LIMIT
         if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
             return const.DENIED_DEADLINE
-        if not entry.pool.budget.take(now):
+        # A call that reached no upstream yet adds no arrival to its first one.
+        is_first = bool(self._free) and not self._arrivals
+        if not is_first and not budget.take(now):
             return const.DENIED_BUDGET
         return ''
 
     def _choose(self, now: int) -> calls.Step:
         known = self._context
-        pool = self._read_entry().pool
+        pool = self._read_pool()
         version = chooser.choose_version(pool, known.directory, known.random)
         target = None
         if version is not None:
             target = chooser.choose_target(
-                known.directory.find_groups(pool.row.service, version),
+                chooser.find_groups(pool, known.directory, version),
                 self._tried,
                 known.random,
                 now,
@@ -190,7 +225,7 @@
                 const.STATUS_UNAVAILABLE,
                 const.REASON_NO_UPSTREAM,
             )
-        self._version = version
+        self._version = target.announcement.version
         return self._send(target, now)
 
     def _send(self, target: targets.Target, now: int) -> calls.Step:
@@ -250,6 +285,11 @@
             raise RuntimeError('the call has no route')
         return self._entry
 
+    def _read_pool(self) -> index.PoolEntry:
+        if self._pool is None:
+            raise RuntimeError('the call has no pool')
+        return self._pool
+
     def _respond_unmatched(self) -> calls.Step:
         if self._context.has_version():
             return self._respond(
@@ -263,16 +303,22 @@
 
     def _respond(self, status: int, reason: str) -> calls.Step:
         self._context.count(f'{const.COUNTER_REFUSED}{reason}')
-        retry_after_s = 0
+        retry_after_ms = 0
         if status == const.STATUS_UNAVAILABLE:
-            retry_after_s = const.RETRY_AFTER_S
+            retry_after_ms = self._find_retry_after()
         return calls.Respond(
             status,
             reason,
             not self._may_have_run,
-            retry_after_s,
+            retry_after_ms,
         )
 
+    def _find_retry_after(self) -> int:
+        aim_ms = self._entry.row.aim_ms if self._entry else 0
+        if not aim_ms:
+            return const.RETRY_AFTER_MS
+        return min(aim_ms // const.RETRY_AFTER_PART, const.RETRY_AFTER_MS)
+
 
 def _is_key(key: str) -> bool:
     try:
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -27,6 +27,9 @@
         'in_flight',
         'avoid_until',
         '_known_in_flight',
+        '_spare',
+        '_spare_until',
+        '_unreached_ms',
     )
 
     def __init__(
@@ -39,16 +42,39 @@
         self.in_flight = 0
         self.avoid_until = 0
         self._known_in_flight = 0
+        self._spare = announcement.spare
+        self._spare_until = 0
+        self._unreached_ms = 0
 
-    def update(self, announcement: membership.Announcement) -> None:
+    def update(self, announcement: membership.Announcement, now: int) -> None:
         """Take a newer announcement."""
         self.announcement = announcement
+        if now >= self._spare_until:
+            self._spare = announcement.spare
+            self._known_in_flight = self.in_flight
+
+    def note_spare(self, spare: int, now: int) -> None:
+        """Take the spare slots that came with an answer."""
+        self._spare = spare
         self._known_in_flight = self.in_flight
+        self._spare_until = now + const.SPARE_LIFETIME_MS
+
+    def note_reached(self) -> None:
+        """Note that its node answers."""
+        self._unreached_ms = 0
+
+    def note_unreached(self, now: int) -> None:
+        """Avoid it, for longer the longer it stays out of reach."""
+        self._unreached_ms = min(
+            max(2 * self._unreached_ms, const.AVOID_UNREACHED_MS),
+            const.MAX_AVOID_UNREACHED_MS,
+        )
+        self.avoid_until = now + self._unreached_ms
 
     def estimate_spare(self) -> int:
-        """Return the announced spare slots less own attempts since then."""
+        """Return the known spare slots less own attempts since then."""
         started = self.in_flight - self._known_in_flight
-        return self.announcement.spare - started
+        return self._spare - started
 
 
 class Group:
@@ -131,17 +157,39 @@
 class Directory:
     """Targets by service and version, nearest data centre first."""
 
-    __slots__ = ('_own', '_targets', '_groups')
+    __slots__ = ('_own', '_targets', '_groups', '_any')
 
     def __init__(self, own: membership.Member) -> None:
         self._own = own
         self._targets: dict[str, Target] = {}
         self._groups: dict[tuple[str, str], list[Group]] = {}
+        self._any: dict[tuple[str, frozenset[str]], list[Group]] = {}
 
     def find_groups(self, service: str, version: str) -> list[Group]:
         """Return the groups, nearest first; empty if there is none."""
         return self._groups.get((service, version), [])
 
+    def find_any(
+        self,
+        service: str,
+        excluded: frozenset[str],
+    ) -> list[Group]:
+        """Return the groups of all versions but some, nearest first."""
+        key = (service, excluded)
+        found = self._any.get(key)
+        if found is None:
+            places: dict[str, list[Target]] = {}
+            for target in self.list_targets(service):
+                row = target.announcement
+                if row.state in OPEN_STATES and row.version not in excluded:
+                    places.setdefault(row.node.datacentre, []).append(target)
+            found = _sort_groups(
+                Group(targets[0].latency_ms, targets)
+                for _, targets in sorted(places.items())
+            )
+            self._any[key] = found
+        return found
+
     def list_targets(self, service: str) -> list[Target]:
         """Return all targets of a service, for reports."""
         return [
@@ -153,6 +201,7 @@
     def replace(
         self,
         announcements: tuple[membership.Announcement, ...],
+        now: int = 0,
     ) -> None:
         """Take all current announcements.
 
@@ -161,7 +210,7 @@
         """
         changed = self._drop_missing(announcements)
         for announcement in announcements:
-            if self._apply(announcement):
+            if self._apply(announcement, now):
                 changed = True
         if changed:
             self._build_groups()
@@ -180,7 +229,11 @@
             self._targets.pop(name)
         return bool(missing)
 
-    def _apply(self, announcement: membership.Announcement) -> bool:
+    def _apply(
+        self,
+        announcement: membership.Announcement,
+        now: int,
+    ) -> bool:
         target = self._targets.get(announcement.node.name)
         if target is None:
             self._targets[announcement.node.name] = Target(
@@ -191,7 +244,7 @@
         previous = target.announcement
         if announcement.generation <= previous.generation:
             return False
-        target.update(announcement)
+        target.update(announcement, now)
         return _read_place(announcement) != _read_place(previous)
 
     def _build_groups(self) -> None:
@@ -201,13 +254,18 @@
             if row.state in OPEN_STATES:
                 place = (row.service, row.version, row.node.datacentre)
                 places.setdefault(place, []).append(target)
+        self._any = {}
         self._groups = {}
         for (service, version, _), targets in sorted(places.items()):
             self._groups.setdefault((service, version), []).append(
                 Group(targets[0].latency_ms, targets),
             )
-        for groups in self._groups.values():
-            groups.sort(key=lambda group: group.latency_ms)
+        for key, groups in self._groups.items():
+            self._groups[key] = _sort_groups(groups)
+
+
+def _sort_groups(groups: abc.Iterable[Group]) -> list[Group]:
+    return sorted(groups, key=lambda group: group.latency_ms)
 
 
 def estimate_latency_ms(
--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -32,6 +32,12 @@
 PEER_SILENCE_MS: typing.Final = 2000
 SUBSCRIPTION_EXPIRY_MS: typing.Final = 10_000
 
+# A node without relays renews its subscription at this interval, so that the
+# loss of its control process shows within `SILENCE_MS`.
+DIRECT_RENEW_MS: typing.Final = 500
+# A control process that was left is tried again after this time.
+SOURCE_PENALTY_MS: typing.Final = 5000
+
 ADMISSIONS_PER_SECOND: typing.Final = 20
 ADMISSION_BURST: typing.Final = 10
 
--- /dev/null
+++ b/shallotwharf/components/delivery/direct.py
@@ -0,0 +1,249 @@
+"""The node's side of the delivery without relays.
+
+In a small fleet control feeds each node itself: a relay that is lost then
+delays nobody else. A version is handed out only once a majority of the voters
+know it as committed, so that the highest answer of any majority is a floor.
+"""
+
+import random as random_module
+import typing
+
+from shallotwharf.components.delivery import (
+    const,
+    fetching,
+    floors,
+    messages,
+    source,
+)
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.roster import messages as roster
+from shallotwharf.components.tables import document, version
+from shallotwharf.components.tables import messages as tables_messages
+from shallotwharf.core import aggregate, effects, errors, schema
+from shallotwharf.core import messages as core_messages
+
+_TICK: typing.Final = 'tick'
+
+
+class DirectSubscriber(aggregate.Aggregate):
+    """Applies each version that a control process hands out.
+
+    It applies nothing before it knows its floor, and nothing below it.
+    """
+
+    __slots__ = (
+        '_own',
+        '_fetcher',
+        '_floor',
+        '_source',
+        '_known_floor',
+        '_active',
+        '_refused',
+        '_renew_at',
+    )
+
+    name = 'subscriber'
+    handlers: typing.ClassVar = {
+        roster.ControlChanged: 'change_control',
+        messages.RelayPart: 'receive_part',
+        messages.FeedStatus: 'receive_status',
+        messages.RetryLater: 'retry_later',
+        messages.FloorReply: 'receive_floor',
+        core_messages.TimerFired: 'tick',
+    }
+
+    def __init__(
+        self,
+        own: member_messages.Member,
+        random: random_module.Random,
+    ) -> None:
+        """Create a subscriber that knows no control process yet.
+
+        Args:
+            own: the node it runs on.
+            random: source of queries' numbers and of choices.
+        """
+        self._own = own
+        self._fetcher = fetching.Fetcher(const.NODE_HISTORY, for_relay=False)
+        self._floor = floors.ControlFloor((), own.datacentre, random)
+        self._source = source.Source(random)
+        self._known_floor: int | None = None
+        self._active = version.EMPTY
+        self._refused = 0
+        self._renew_at = 0
+
+    @property
+    def active(self) -> version.Version:
+        """Return the version in force; number 0 if there is none yet."""
+        return self._active
+
+    @property
+    def floor(self) -> int | None:
+        """Return the lowest version it may apply; None if not known."""
+        return self._known_floor
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for the roster."""
+        return [self._set_timer(now)]
+
+    def change_control(
+        self,
+        message: roster.ControlChanged,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Learn who the control processes are."""
+        self._floor.change_control(
+            tuple(
+                messages.ControlProcess(
+                    voter.name,
+                    voter.place.datacentre,
+                    voter.place.region,
+                )
+                for voter in message.roster.list_voters()
+            ),
+        )
+        ranks = {
+            process.name: source.rank_distance(
+                self._own.datacentre,
+                self._own.region,
+                messages.ControlProcess(
+                    process.name,
+                    process.place.datacentre,
+                    process.place.region,
+                ),
+            )
+            for process in message.roster.list_voters()
+        }
+        before = self._source.name
+        self._source.change(ranks, now)
+        step = self._ask_floor(now)
+        if self._source.name != before:
+            step.extend(self._subscribe(now))
+        return step
+
+    def receive_part(
+        self,
+        message: messages.RelayPart,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Hold a version once it is whole; apply it if it may be."""
+        step: list[effects.Effect] = []
+        if sender != self._source.name:
+            step.append(effects.Send(sender, messages.Unsubscribe()))
+        try:
+            built = self._fetcher.take(message.part, now)
+        except errors.ProtocolError as error:
+            step.append(effects.Count('delivery.versions_refused'))
+            step.append(effects.Report('version_part_refused', {'why': error}))
+            return [*step, *self._subscribe(now)]
+        if built is None:
+            return step
+        # The acknowledgement comes first, so that the next version is on its
+        # way while this one is applied.
+        return [*step, *self._subscribe(now), *self._apply()]
+
+    def receive_status(
+        self,
+        message: messages.FeedStatus,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note the answer of a control process."""
+        self._source.receive_status(sender, message, now)
+        return []
+
+    def retry_later(
+        self,
+        message: messages.RetryLater,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Wait before the next subscription."""
+        if sender == self._source.name:
+            self._renew_at = now + message.after_ms
+        return []
+
+    def receive_floor(
+        self,
+        message: messages.FloorReply,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Note a floor that control states."""
+        self._floor.receive(sender, message, now)
+        return self._apply_floor(now)
+
+    def tick(
+        self,
+        _message: core_messages.TimerFired,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Repeat what may have been lost."""
+        step = self._ask_floor(now)
+        if self._source.check(now):
+            self._renew_at = now
+            step.append(effects.Count('delivery.source_left'))
+        if self._source.name and now >= self._renew_at:
+            step.extend(self._subscribe(now))
+        return [*step, *self._apply_floor(now), self._set_timer(now)]
+
+    def _ask_floor(self, now: int) -> list[effects.Effect]:
+        if self._known_floor is not None:
+            return []
+        return self._floor.ask(now)
+
+    def _apply_floor(self, now: int) -> list[effects.Effect]:
+        if self._known_floor is None:
+            self._known_floor = self._floor.find(now)
+        return self._apply()
+
+    def _subscribe(self, now: int) -> list[effects.Effect]:
+        if not self._source.name:
+            return []
+        self._renew_at = now + const.DIRECT_RENEW_MS
+        number, digest = self._fetcher.read_base()
+        return [
+            effects.Send(
+                self._source.name,
+                messages.Subscribe(number, digest),
+            ),
+        ]
+
+    def _apply(self) -> list[effects.Effect]:
+        candidate = self._fetcher.newest
+        number = candidate.number
+        if self._known_floor is None or number < self._known_floor:
+            return []
+        if number <= self._active.number or number == self._refused:
+            return []
+        try:
+            document.check_tables(candidate.tables)
+        except ExceptionGroup as group:
+            self._refused = number
+            reason = '; '.join(schema.format_errors(group))
+            return [
+                effects.Count('delivery.versions_refused'),
+                effects.Report(
+                    'version_refused',
+                    {'number': number, 'reason': reason[:200]},
+                ),
+            ]
+        self._active = candidate
+        return [
+            effects.Publish(tables_messages.VersionApplied(candidate)),
+            effects.Count('delivery.versions_applied'),
+            effects.Report(
+                'version_applied',
+                {
+                    'number': number,
+                    'revision': candidate.tables.revision,
+                    'source': self._source.name,
+                },
+            ),
+        ]
+
+    def _set_timer(self, now: int) -> effects.Effect:
+        return effects.SetTimer(_TICK, now + const.RELAY_TICK_MS)
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -40,6 +40,7 @@
     handlers = {
         tables_messages.VersionAccepted: 'accept_version',
         replica_messages.LeaderChanged: 'change_leader',
+        replica_messages.GroupChanged: 'change_group',
         messages.PeerProgress: 'receive_progress',
         messages.Subscribe: 'subscribe',
         messages.Unsubscribe: 'unsubscribe',
@@ -109,6 +110,18 @@
         self._peers.note_leading(message.leading)
         return self._spread_progress()
 
+    def change_group(
+        self,
+        message: replica_messages.GroupChanged,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Count the voters of the configuration in force."""
+        self._peers.change_voters(
+            voter.name for voter in message.members.voters
+        )
+        return [*self._spread_progress(), *self._offer(now)]
+
     def receive_progress(
         self,
         message: messages.PeerProgress,
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -47,6 +47,17 @@
         self._next_at = 0
         self._wait_ms = const.BACKOFF_FIRST_MS
 
+    def change_control(
+        self,
+        control: abc.Iterable[messages.ControlProcess],
+    ) -> None:
+        """Set the voters; answers of others count no more."""
+        self._control = tuple(control)
+        names = {process.name for process in self._control}
+        for name in self._replies.keys() - names:
+            self._replies.pop(name)
+        self._next_at = 0
+
     def ask(self, now: int, purpose: bytes = b'') -> list[effects.Effect]:
         """Repeat the query to the silent if due; begin one if none runs.
 
--- a/shallotwharf/components/delivery/peers.py
+++ b/shallotwharf/components/delivery/peers.py
@@ -40,6 +40,7 @@
         'leading',
         'incarnation',
         '_own',
+        '_votes',
         '_target',
         '_peers',
     )
@@ -54,10 +55,22 @@
         self.settled = False
         self.leading = False
         self._own = own
+        self._votes = True
         self.incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._target: int | None = None
         self._peers = {name: _Peer(0) for name in voters if name != own}
 
+    def change_voters(self, voters: abc.Iterable[str]) -> None:
+        """Set the voters; what is known of those that stay is kept."""
+        names = tuple(voters)
+        known = self._peers
+        self._votes = self._own in names
+        self._peers = {
+            name: known.get(name) or _Peer(0)
+            for name in names
+            if name != self._own
+        }
+
     def note_held(self, number: int) -> None:
         """Note that a version is known here as committed."""
         self.held = max(self.held, number)
@@ -105,18 +118,20 @@
     def compute_released(self) -> int:
         """Return the highest version that may be handed out."""
         numbers = [peer.number for peer in self._peers.values()]
-        numbers.append(self.held)
+        if self._votes:
+            numbers.append(self.held)
         numbers.sort(reverse=True)
         majority = quorum.compute_majority(len(numbers))
         return min(self.held, numbers[majority - 1])
 
     def is_current(self, now: int) -> bool:
         """Tell whether a majority of the voters was heard lately."""
-        heard = 1
+        heard = int(self._votes)
         for peer in self._peers.values():
             if peer.heard_at is not None:
                 heard += now - peer.heard_at < const.PEER_SILENCE_MS
-        return heard >= quorum.compute_majority(len(self._peers) + 1)
+        voters = len(self._peers) + int(self._votes)
+        return heard >= quorum.compute_majority(voters)
 
     def _settle(self) -> None:
         if self._target is not None and self.held >= self._target:
--- /dev/null
+++ b/shallotwharf/components/delivery/source.py
@@ -0,0 +1,93 @@
+"""Choice of the control process that feeds a node directly."""
+
+import random as random_module
+from collections import abc
+
+from shallotwharf.components.delivery import const, messages
+
+
+class Source:
+    """The control process that a node subscribes to.
+
+    The nearest one is taken. One that is silent, or that does not hear a
+    majority of the voters for a while, is left for the next one; it is taken
+    again after `const.SOURCE_PENALTY_MS`.
+
+    Attributes:
+        name: the chosen process; empty if none is known.
+    """
+
+    __slots__ = (
+        'name',
+        '_random',
+        '_ranks',
+        '_left_until',
+        '_heard_at',
+        '_current_at',
+    )
+
+    def __init__(self, random: random_module.Random) -> None:
+        self.name = ''
+        self._random = random
+        self._ranks: dict[str, int] = {}
+        self._left_until: dict[str, int] = {}
+        self._heard_at = 0
+        self._current_at = 0
+
+    def change(self, ranks: abc.Mapping[str, int], now: int) -> None:
+        """Set the control processes with their distances."""
+        self._ranks = dict(ranks)
+        if self.name not in self._ranks:
+            self._choose(now)
+
+    def receive_status(
+        self,
+        sender: str,
+        status: messages.FeedStatus,
+        now: int,
+    ) -> None:
+        """Note that the chosen process answers."""
+        if sender == self.name:
+            self._heard_at = now
+            if status.current:
+                self._current_at = now
+
+    def leave(self, sender: str, now: int) -> None:
+        """Choose another process instead of the sender."""
+        if sender == self.name:
+            self._left_until[sender] = now + const.SOURCE_PENALTY_MS
+            self._choose(now)
+
+    def check(self, now: int) -> bool:
+        """Leave a process that is of no use; return whether so."""
+        silent = now - self._heard_at >= const.SILENCE_MS
+        alone = now - self._current_at >= const.SILENCE_MS
+        if not self.name or not (silent or alone):
+            return False
+        self.leave(self.name, now)
+        return True
+
+    def _choose(self, now: int) -> None:
+        self.name = ''
+        self._heard_at = now
+        self._current_at = now
+        if self._ranks:
+            self.name = min(
+                self._ranks,
+                key=lambda name: (
+                    self._left_until.get(name, 0) > now,
+                    self._ranks[name],
+                    self._random.random(),
+                ),
+            )
+
+
+def rank_distance(
+    datacentre: str,
+    region: str,
+    process: messages.ControlProcess,
+) -> int:
+    """Return 0 for the own data centre, 1 for the own region, else 2."""
+    if process.datacentre == datacentre:
+        return 0
+    return 1 if process.region == region else 2
--- a/shallotwharf/components/ledger/const.py
+++ b/shallotwharf/components/ledger/const.py
@@ -12,6 +12,10 @@
 CLOCK_TOLERANCE_MS: typing.Final = 5 * clock.MINUTE_MS
 # Ten times the edits of a day; the oldest ids expire early beyond this.
 REQUEST_LIMIT: typing.Final = 14_000
+# Accepted orders whose resends are recognised: more than three days of them.
+ORDER_LIMIT: typing.Final = 5000
+# An order of a move that ended is taken as a resent one for this long.
+ORDER_REPEAT_MS: typing.Final = 10 * clock.SECOND_MS
 # A part of a snapshot must fit into a message of 4 MiB.
 PART_BYTES: typing.Final = 524_288
 MAX_DETAIL_LENGTH: typing.Final = 1000
@@ -23,6 +27,7 @@
 KIND_STEP: typing.Final = 'step_move'
 KIND_TAKE_BACK: typing.Final = 'take_back'
 KIND_HOLDERS: typing.Final = 'assign_holders'
+KIND_ORDER: typing.Final = 'order_move'
 
 # Reasons of `EditRefused`.
 REASON_BAD_ID: typing.Final = 'bad_request_id'
@@ -34,4 +39,6 @@
 REASON_INVALID: typing.Final = 'invalid_tables'
 REASON_MOVE: typing.Final = 'move_not_active'
 REASON_STEP: typing.Final = 'invalid_step'
+REASON_REVISION: typing.Final = 'revision_not_above'
+REASON_SERVICE: typing.Final = 'unknown_service'
 REASON_HOLDERS: typing.Final = 'invalid_holders'
--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -10,6 +10,7 @@
     holders,
     messages,
     moves,
+    orders,
     requests,
     snapshot,
 )
@@ -29,7 +30,7 @@
     commands carry.
     """
 
-    __slots__ = ('_history', '_book', '_applied', '_part_bytes')
+    __slots__ = ('_history', '_book', '_orders', '_applied', '_part_bytes')
 
     name = 'ledger'
     handlers: typing.ClassVar[aggregate.Handlers] = types.MappingProxyType(
@@ -45,6 +46,7 @@
         self._part_bytes = part_bytes
         self._history = history.History()
         self._book = requests.RequestBook()
+        self._orders = orders.OrderBook()
         self._applied = 0
 
     @property
@@ -61,6 +63,11 @@
         """Wait for the log."""
         return []
 
+    @property
+    def document(self) -> bytes:
+        """Return the latest revision as the operators wrote it."""
+        return self._orders.document
+
     def list_history(self) -> tuple[history.HistoryRow, ...]:
         """Return the latest versions with their authors, latest last."""
         return self._history.list_rows()
@@ -104,6 +111,7 @@
         parts = snapshot.build_parts(
             self._history,
             self._book,
+            self._orders,
             self._part_bytes,
         )
         return [
@@ -126,6 +134,7 @@
         state = snapshot.Restored(restored.parts)
         self._history = state.versions
         self._book = state.book
+        self._orders = state.orders
         self._applied = restored.index
         return [self._publish_current()] if self.current.number else []
 
@@ -209,6 +218,61 @@
         )
         return self._accept(command, kind, target, f'base={command.base}')
 
+    def _apply_revision(
+        self,
+        command: messages.ApplyRevision,
+    ) -> core_messages.Message:
+        known = self._orders.find(command.digest)
+        if known is not None:
+            return known
+        reply = self._find_revision_objection(command)
+        if reply is not None:
+            return reply
+        number = self.current.number + 1
+        target = version.Version(
+            number,
+            command.tables,
+            moves.derive_moves(self.current, command.tables, number),
+            self.current.holders,
+        )
+        detail = f'revision={command.tables.revision} base={command.base}'
+        accepted = self._accept(command, const.KIND_EDIT, target, detail)
+        self._orders.add(command, accepted)
+        return accepted
+
+    def _find_revision_objection(
+        self,
+        command: messages.ApplyRevision,
+    ) -> core_messages.Message | None:
+        current = self.current.tables.revision
+        if command.base != current:
+            return messages.EditConflict(current, '', '')
+        if command.tables.revision <= current:
+            return answers.refuse(
+                const.REASON_REVISION,
+                f'revision {command.tables.revision} is not above {current}',
+            )
+        return answers.check_tables(command.tables)
+
+    def _order_move(self, command: messages.OrderMove) -> core_messages.Message:
+        current = self.current
+        if all(row.service != command.service for row in current.tables.pools):
+            return answers.refuse(const.REASON_SERVICE, command.service)
+        ordered = moves.order_moves(current, command)
+        if not ordered:
+            return messages.EditAccepted(
+                current.number,
+                current.compute_digest(),
+            )
+        replaced = {move.pool for move in ordered}
+        others = [move for move in current.moves if move.pool not in replaced]
+        target = current.replace(
+            number=current.number + 1,
+            moves=(*others, *ordered),
+        )
+        detail = f'service={command.service} to={command.to_version}'
+        return self._accept(command, const.KIND_ORDER, target, detail)
+
     def _step_move(self, command: messages.StepMove) -> core_messages.Message:
         move = moves.find_move(self.current, command.move_id)
         if move is None or not moves.is_open(move):
@@ -287,5 +351,7 @@
         messages.StepMove: '_step_move',
         messages.TakeBack: '_take_back',
         messages.AssignHolders: '_assign_holders',
+        messages.ApplyRevision: '_apply_revision',
+        messages.OrderMove: '_order_move',
     },
 )
--- a/shallotwharf/components/ledger/messages.py
+++ b/shallotwharf/components/ledger/messages.py
@@ -108,9 +108,72 @@
         self.at = at
 
 
+@messages.register('ledger.apply_revision')
+class ApplyRevision(messages.Message):
+    """Replace the tables by the operators' next revision of them.
+
+    A resent order has the same digest and gets the first answer.
+
+    Attributes:
+        operator: who sent it.
+        base: revision that it was made on; 0 before the first one.
+        tables: the new tables with their revision.
+        document: the tables as the operators wrote them, for reading back.
+        digest: digest of the whole order.
+        at: wall time.
+    """
+
+    __slots__ = ('operator', 'base', 'tables', 'document', 'digest', 'at')
+
+    def __init__(
+        self,
+        operator: str,
+        base: int,
+        tables: version.Tables,
+        document: bytes,
+        digest: bytes,
+        at: int,
+    ) -> None:
+        self.operator = operator
+        self.base = base
+        self.tables = tables
+        self.document = document
+        self.digest = digest
+        self.at = at
+
+
+@messages.register('ledger.order_move')
+class OrderMove(messages.Message):
+    """Move all pools of a service to a version within a period.
+
+    A move of a pool to that version which is under way, or was ordered
+    lately, is not ordered again.
+    """
+
+    __slots__ = ('service', 'to_version', 'period_ms', 'at')
+
+    def __init__(
+        self,
+        service: str,
+        to_version: str,
+        period_ms: int,
+        at: int,
+    ) -> None:
+        self.service = service
+        self.to_version = to_version
+        self.period_ms = period_ms
+        self.at = at
+
+
 # What the ledger takes from the log.
 Command: typing.TypeAlias = (
-    ApplyEdit | Revert | StepMove | TakeBack | AssignHolders
+    ApplyEdit
+    | Revert
+    | StepMove
+    | TakeBack
+    | AssignHolders
+    | ApplyRevision
+    | OrderMove
 )
 
 
--- a/shallotwharf/components/ledger/moves.py
+++ b/shallotwharf/components/ledger/moves.py
@@ -2,8 +2,9 @@
 
 import typing
 
-from shallotwharf.components.ledger import messages
-from shallotwharf.components.tables import const, pool, version
+from shallotwharf.components.ledger import const, messages
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import pool, version
 
 # States that `StepMove` may set; taking back is a command of its own.
 _STEP_STATES: typing.Final = frozenset(
@@ -21,6 +22,37 @@
 )
 
 
+def order_moves(
+    current: version.Version,
+    command: messages.OrderMove,
+) -> tuple[version.Move, ...]:
+    """Return the moves that an order adds; none if it is a resent one."""
+    return tuple(
+        version.Move(
+            f'{current.number + 1}-{row.name}',
+            row.name,
+            _find_served(row),
+            command.to_version,
+            command.at + command.period_ms,
+            period_ms=command.period_ms,
+            ordered_at=command.at,
+        )
+        for row in current.tables.pools
+        if row.service == command.service
+        and not _repeats(current.find_move(row.name), command)
+    )
+
+
+def _repeats(
+    known: version.Move | None,
+    command: messages.OrderMove,
+) -> bool:
+    if known is None or known.to_version != command.to_version:
+        return False
+    age_ms = abs(command.at - known.ordered_at)
+    return is_open(known) or age_ms < const.ORDER_REPEAT_MS
+
+
 def derive_moves(
     current: version.Version,
     tables: version.Tables,
@@ -28,14 +60,23 @@
 ) -> tuple[version.Move, ...]:
     """Return the moves of version `number` with new tables.
 
-    A move lives as long as its declaration is in the table of pools.
+    A move lives as long as its declaration is in the table of pools, an
+    ordered one as long as its pool.
     """
     existing = {move.pool: move for move in current.moves}
-    return tuple(
+    derived = [
         _derive_move(row, row.move, existing.get(row.name), number)
         for row in tables.pools
         if row.move is not None
-    )
+    ]
+    declared = {move.pool for move in derived}
+    names = {row.name for row in tables.pools}
+    kept = [
+        move
+        for move in current.moves
+        if move.ordered_at and move.pool in names - declared
+    ]
+    return (*derived, *kept)
 
 
 def find_move(
@@ -57,7 +98,7 @@
 def is_valid_step(move: version.Move, command: messages.StepMove) -> bool:
     """Tell whether a move can have share and state; the share never falls."""
     return (
-        move.share <= command.share <= const.FULL_SHARE
+        move.share <= command.share <= tables_const.FULL_SHARE
         and command.state in _STEP_STATES
     )
 
@@ -113,4 +154,8 @@
 
 def _find_served(row: pool.Pool) -> str:
     # The tables were checked: one version has all the weight.
-    return max(row.weights, key=lambda name: (row.weights[name], name))
+    return max(
+        row.weights,
+        key=lambda name: (row.weights[name], name),
+        default=version.ANY_VERSION,
+    )
--- a/shallotwharf/components/ledger/snapshot.py
+++ b/shallotwharf/components/ledger/snapshot.py
@@ -1,6 +1,6 @@
 """The whole state of the ledger in parts that fit into messages."""
 
-from shallotwharf.components.ledger import history, requests
+from shallotwharf.components.ledger import history, orders, requests
 from shallotwharf.components.tables import version
 from shallotwharf.core import errors, messages, sizes
 
@@ -34,6 +34,21 @@
         self.revisions = revisions
 
 
+@messages.register('ledger.snapshot_orders')
+class SnapshotOrders(messages.Message):
+    """Accepted revisions, and the document of the latest one."""
+
+    __slots__ = ('accepted', 'document')
+
+    def __init__(
+        self,
+        accepted: tuple[orders.OrderRecord, ...],
+        document: bytes,
+    ) -> None:
+        self.accepted = accepted
+        self.document = document
+
+
 @messages.register('ledger.snapshot_requests')
 class SnapshotRequests(messages.Message):
     """Answered request ids."""
@@ -50,6 +65,7 @@
 def build_parts(
     versions: history.History,
     book: requests.RequestBook,
+    accepted: orders.OrderBook,
     part_bytes: int,
 ) -> tuple[messages.Message, ...]:
     """Return the state in parts."""
@@ -67,13 +83,14 @@
         base,
         *(SnapshotRevisions(batch) for batch in revisions),
         *(SnapshotRequests(batch) for batch in answered),
+        SnapshotOrders(accepted.list_records(), accepted.document),
     )
 
 
 class Restored:
     """State built from the parts of a snapshot."""
 
-    __slots__ = ('versions', 'book')
+    __slots__ = ('versions', 'book', 'orders')
 
     def __init__(self, parts: tuple[messages.Message, ...]) -> None:
         """Apply the parts in order.
@@ -85,6 +102,7 @@
         if not isinstance(base, SnapshotBase):
             raise errors.ProtocolError(f'{base.tag} is not the base', _STEP)
         self.book = requests.RequestBook(base.dropped_until)
+        self.orders = orders.OrderBook()
         self.versions = history.History(base.oldest, base.tables_number)
         for part in parts[1:]:
             self._apply(part)
@@ -96,5 +114,7 @@
         elif isinstance(part, SnapshotRequests):
             for record in part.answered:
                 self.book.add(record)
+        elif isinstance(part, SnapshotOrders):
+            self.orders = orders.OrderBook(part.accepted, part.document)
         else:
             raise errors.ProtocolError(f'unexpected part {part.tag}', _STEP)
--- a/shallotwharf/components/move/schedule.py
+++ b/shallotwharf/components/move/schedule.py
@@ -64,7 +64,8 @@
 def find_first_share(tables: version.Tables, pool: str) -> int:
     """Return the first share of a move of a pool."""
     confirms = any(
-        row.pool == pool and row.priority == tables_const.PRIORITY_CONFIRMATION
+        pool in row.list_pools()
+        and row.priority == tables_const.PRIORITY_CONFIRMATION
         for row in tables.routes
     )
     if confirms:
--- a/shallotwharf/components/replica/configuration.py
+++ b/shallotwharf/components/replica/configuration.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from shallotwharf.core import messages, records
+from shallotwharf.core import messages, places, records
 
 
 class Member(records.Record):
@@ -13,13 +13,20 @@
         name: name of the process.
         identity: random name of its data folder; an emptied disk has
             another one, so that it never counts as the voter it was.
+        place: where it runs, as far as it was told.
     """
 
-    __slots__ = ('name', 'identity')
+    __slots__ = ('name', 'identity', 'place')
 
-    def __init__(self, name: str, identity: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        identity: str,
+        place: places.Place = places.NOWHERE,
+    ) -> None:
         self.name = name
         self.identity = identity
+        self.place = place
 
 
 @messages.register('replica.configuration')
@@ -55,6 +62,10 @@
         """Tell whether a voter or learner has a name."""
         return any(member.name == name for member in self.list_members())
 
+    def has_voter(self, name: str) -> bool:
+        """Tell whether a voter has a name."""
+        return any(voter.name == name for voter in self.voters)
+
     def list_members(self) -> tuple[Member, ...]:
         """Return voters and learners."""
         return self.voters + self.learners
@@ -99,13 +110,13 @@
             _without_name(self.learners, name),
         )
 
-    def promote(self, learner: Member) -> typing.Self:
+    def promote(self, learner: Member, replaced: str = '') -> typing.Self:
         """Return the next step that makes a learner a voter.
 
-        The voter that had the name before is removed first, since one
-        change may add or remove one voter only.
+        The voter that had the name before, or the one that is `replaced`,
+        is removed first, since one change may add or remove one voter only.
         """
-        others = _without_name(self.voters, learner.name)
+        others = _without_name(self.voters, replaced or learner.name)
         if len(others) < len(self.voters):
             return type(self)(others, self.learners)
         learners = _without_name(self.learners, learner.name)
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -18,6 +18,17 @@
 GREET_MS: typing.Final = 300
 # An answer older than this no longer counts when a group is founded.
 GREETING_LIFETIME_MS: typing.Final = 2000
+# A group without a list of voters is founded by those that greeted once no
+# new one came for this time: processes that start together do so within
+# 300 ms.
+FOUNDING_SETTLE_MS: typing.Final = 300
+# With fewer processes than wanted a group is founded after this time.
+FOUNDING_PATIENCE_MS: typing.Final = 5000
+# More voters make a majority slower without bearing more lost disks.
+MAX_VOTERS: typing.Final = 7
+# Voters and learners; each learner costs the leader a copy of the log.
+MAX_MEMBERS: typing.Final = 16
+
 # How often a failed disk is tried again.
 PROBE_MS: typing.Final = 1000
 
--- a/shallotwharf/components/replica/duties.py
+++ b/shallotwharf/components/replica/duties.py
@@ -28,6 +28,7 @@
         '_founding',
         '_membership',
         '_published',
+        '_group',
     )
 
     def __init__(
@@ -46,6 +47,7 @@
         self._founding = found
         self._membership = group
         self._published: messages.LeaderChanged | None = None
+        self._group: messages.GroupChanged | None = None
 
     def start(self, now: int) -> None:
         """Publish the snapshot and look for a group or a leader."""
@@ -62,6 +64,8 @@
         alone = [voter.identity for voter in voters] == [self._kernel.identity]
         if not alone:
             self._elections.reset_timer(now)
+            if self._founding.is_founder:
+                self._elections.hasten(now)
         elif self._elections.start_election(now):
             self._leadership.start(now)
 
@@ -159,8 +163,18 @@
                 leading=current.leading,
                 term=self._kernel.term,
             )
+        self._publish_group()
         return self._kernel.outbox.take()
 
+    def _publish_group(self) -> None:
+        current = messages.GroupChanged(
+            self._kernel.log.changed_at,
+            self._kernel.members,
+        )
+        if current != self._group and self._kernel.founded:
+            self._group = current
+            self._kernel.outbox.add(effects.Publish(current))
+
     def _report(self, event: str, **fields: object) -> None:
         self._kernel.outbox.add(effects.Report(event, fields))
 
--- a/shallotwharf/components/replica/elections.py
+++ b/shallotwharf/components/replica/elections.py
@@ -27,6 +27,10 @@
         """Wait for a random election timeout from `now` on."""
         self._set_timer(now, const.ELECTION_MIN_MS, const.ELECTION_MAX_MS)
 
+    def hasten(self, now: int) -> None:
+        """Campaign soon, since nobody can lead yet."""
+        self._set_timer(now, const.RETRY_MIN_MS, const.RETRY_MAX_MS)
+
     def start_pre_vote(self, now: int) -> bool:
         """Ask the voters; return whether the election is already won."""
         self.reset_timer(now)
--- a/shallotwharf/components/replica/kernel.py
+++ b/shallotwharf/components/replica/kernel.py
@@ -12,7 +12,7 @@
     outbox,
     stored,
 )
-from shallotwharf.core import effects, storage
+from shallotwharf.core import effects, places, storage
 from shallotwharf.core import messages as core_messages
 
 INTERNAL: typing.Final = (stored.Noop, configuration.Configuration)
@@ -30,6 +30,7 @@
     __slots__ = (
         'name',
         'identity',
+        'place',
         'random',
         'log',
         'term',
@@ -56,9 +57,11 @@
         recovered: storage.Recovered,
         source: random.Random,
         snapshot_entries: int,
+        place: places.Place = places.NOWHERE,
     ) -> None:
         self.name = name
         self.identity = recovered.identity
+        self.place = place
         self.random = source
         self.outbox = outbox.Outbox()
         self.role = const.ROLE_FOLLOWER
--- a/shallotwharf/components/replica/membership.py
+++ b/shallotwharf/components/replica/membership.py
@@ -16,18 +16,22 @@
     """Adds learners, makes them voters, removes members.
 
     A process whose name is in the configuration with another disk lost its
-    disk; it becomes a learner without an operator. A new name needs one.
+    disk; it becomes a learner without an operator. A new name needs one,
+    unless the group is open: then it joins by itself, and replaces a silent
+    voter of its data centre.
     """
 
-    __slots__ = ('_kernel', '_leadership', '_candidates')
+    __slots__ = ('_kernel', '_leadership', '_is_open', '_candidates')
 
     def __init__(
         self,
         shared: kernel.Kernel,
         lead: leadership.Leadership,
+        is_open: bool = False,
     ) -> None:
         self._kernel = shared
         self._leadership = lead
+        self._is_open = is_open
         # Processes that greeted, by name, with their latest disk.
         self._candidates: dict[str, configuration.Member] = {}
 
@@ -47,8 +51,11 @@
         """
         self._candidates[greeter.name] = greeter
         members = self._kernel.members
+        if not members.has_name(greeter.name):
+            self._admit(greeter, now)
+            return
         silent = self._leadership.is_silent(greeter.name, now)
-        if not members.has_name(greeter.name) or not silent or not self.idle:
+        if not silent or not self.idle:
             return
         if not members.is_member(greeter.identity):
             self._change(members.with_learner(greeter), now)
@@ -71,9 +78,14 @@
         """Make a learner that has the whole log a voter."""
         if not self.idle:
             return
+        members = self._kernel.members
         for peer in self._leadership.peers.values():
-            if self._is_ready(peer):
-                self._change(self._kernel.members.promote(peer.member), now)
+            if not self._is_ready(peer):
+                continue
+            replaced = self._find_replaced(peer.member, now)
+            known = replaced or members.has_voter(peer.member.name)
+            if known or len(members.voters) < const.MAX_VOTERS:
+                self._change(members.promote(peer.member, replaced), now)
                 return
 
     def hand_over(self) -> bool:
@@ -101,6 +113,24 @@
                 return True
         return False
 
+    def _admit(self, greeter: configuration.Member, now: int) -> None:
+        members = self._kernel.members
+        room = len(members.list_members()) < const.MAX_MEMBERS
+        if self._is_open and self.idle and room:
+            self._change(members.with_learner(greeter), now)
+
+    def _find_replaced(self, learner: configuration.Member, now: int) -> str:
+        """Return the silent voter whose place a learner takes, if any."""
+        datacentre = learner.place.datacentre
+        if not self._is_open or not datacentre:
+            return ''
+        for voter in self._kernel.members.voters:
+            same = voter.place.datacentre == datacentre
+            if same and voter.name not in {learner.name, self._kernel.name}:
+                if self._leadership.is_silent(voter.name, now):
+                    return voter.name
+        return ''
+
     def _add(self, message: messages.AddMember, now: int) -> None:
         """Add a process that greeted as a learner."""
         candidate = self._candidates.get(message.name)
--- a/shallotwharf/components/replica/messages.py
+++ b/shallotwharf/components/replica/messages.py
@@ -1,5 +1,6 @@
 """Events of the replicated log that other components use."""
 
+from shallotwharf.components.replica import configuration
 from shallotwharf.core import messages
 
 
@@ -72,6 +73,26 @@
         self.leading = leading
 
 
+@messages.register('replica.group_changed')
+class GroupChanged(messages.Message):
+    """Another configuration of voters and learners is in force.
+
+    Attributes:
+        index: of its entry; a higher one is newer.
+        members: voters and learners.
+    """
+
+    __slots__ = ('index', 'members')
+
+    def __init__(
+        self,
+        index: int,
+        members: configuration.Configuration,
+    ) -> None:
+        self.index = index
+        self.members = members
+
+
 @messages.register('replica.proposal_refused')
 class ProposalRefused(messages.Message):
     """The command was not appended and has no effect.
--- a/shallotwharf/components/replica/protocol.py
+++ b/shallotwharf/components/replica/protocol.py
@@ -1,7 +1,7 @@
 """Messages between replicas."""
 
 from shallotwharf.components.replica import stored
-from shallotwharf.core import messages
+from shallotwharf.core import messages, places
 
 
 @messages.register('replica.pre_vote')
@@ -238,12 +238,22 @@
 
 @messages.register('replica.greet')
 class Greet(messages.Message):
-    """A process without a configuration shows its disk and asks for one."""
+    """A process without a configuration shows its disk and asks for one.
 
-    __slots__ = ('identity',)
+    Attributes:
+        identity: its disk.
+        place: where it runs.
+    """
+
+    __slots__ = ('identity', 'place')
 
-    def __init__(self, identity: str) -> None:
+    def __init__(
+        self,
+        identity: str,
+        place: places.Place = places.NOWHERE,
+    ) -> None:
         self.identity = identity
+        self.place = place
 
 
 @messages.register('replica.greeting')
@@ -257,9 +267,17 @@
         founding: first entry of the log; None if the sender has none or
             dropped it.
         leader: name of the leader; empty if unknown.
+        place: where the sender runs.
     """
 
-    __slots__ = ('identity', 'asked', 'founded', 'founding', 'leader')
+    __slots__ = (
+        'identity',
+        'asked',
+        'founded',
+        'founding',
+        'leader',
+        'place',
+    )
 
     def __init__(
         self,
@@ -268,9 +286,11 @@
         founded: bool,
         founding: stored.Entry | None,
         leader: str,
+        place: places.Place = places.NOWHERE,
     ) -> None:
         self.identity = identity
         self.asked = asked
         self.founded = founded
         self.founding = founding
         self.leader = leader
+        self.place = place
--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -18,7 +18,7 @@
     protocol,
     status,
 )
-from shallotwharf.core import aggregate, effects, storage
+from shallotwharf.core import aggregate, effects, places, storage
 from shallotwharf.core import messages as core_messages
 
 _LeaderMessage: typing.TypeAlias = (
@@ -73,6 +73,8 @@
         recovered: storage.Recovered,
         source: random.Random,
         snapshot_entries: int = const.SNAPSHOT_ENTRIES,
+        electorate: founding.Electorate | None = None,
+        place: places.Place = places.NOWHERE,
     ) -> None:
         """Take over what the disk holds.
 
@@ -82,6 +84,8 @@
             recovered: content of the data folder.
             source: randomness of the election timeouts.
             snapshot_entries: entries committed between two snapshots.
+            electorate: who founds the group, if not all of `voters`.
+            place: where this process runs.
 
         Raises:
             CorruptionError: if entries are missing from the log.
@@ -91,14 +95,19 @@
             recovered,
             source,
             snapshot_entries,
+            place,
         )
         self._elections = elections.Elections(self._kernel)
         self._leadership = leadership.Leadership(self._kernel)
         self._following = following.Following(self._kernel)
-        self._founding = founding.Founding(self._kernel, voters)
+        self._founding = founding.Founding(
+            self._kernel,
+            electorate or founding.ListedVoters(voters),
+        )
         self._membership = membership.Membership(
             self._kernel,
             self._leadership,
+            is_open=self._founding.is_open,
         )
         self._duties = duties.Duties(
             self._kernel,
@@ -124,6 +133,8 @@
         if not isinstance(message, core_messages.StoreFailed):
             self._kernel.begin_step()
         was_founded = self._kernel.founded
+        if sender != self._kernel.name:
+            self._founding.note_peer(sender)
         getattr(self, self.handlers[type(message)])(message, sender, now)
         if self._kernel.founded and not was_founded:
             self._duties.begin(now)
@@ -283,10 +294,10 @@
         now: int,
     ) -> None:
         """Tell a process without a configuration what this one has."""
-        self._founding.answer(message, sender)
+        self._founding.answer(message, sender, now)
         if self.is_leading(now) and not self._kernel.storage_failed:
             self._membership.receive_greet(
-                configuration.Member(sender, message.identity),
+                configuration.Member(sender, message.identity, message.place),
                 now,
             )
 
--- /dev/null
+++ b/shallotwharf/components/roster/messages.py
@@ -0,0 +1,64 @@
+"""Messages and events of the roster."""
+
+from shallotwharf.core import messages, places, records
+
+
+class Process(records.Record):
+    """A control process.
+
+    Attributes:
+        name: name of the process.
+        place: where it runs.
+        votes: whether it is a voter of the log.
+    """
+
+    __slots__ = ('name', 'place', 'votes')
+
+    def __init__(self, name: str, place: places.Place, votes: bool) -> None:
+        self.name = name
+        self.place = place
+        self.votes = votes
+
+
+@messages.register('roster.ask')
+class AskRoster(messages.Message):
+    """Asks a control process for the roster that it knows."""
+
+    __slots__ = ()
+
+    def __init__(self) -> None:
+        """Create the message; the codec needs a constructor of its own."""
+
+
+@messages.register('roster.roster')
+class Roster(messages.Message):
+    """All control processes.
+
+    Attributes:
+        index: of the log entry that it comes from; a higher one is newer.
+        processes: voters and learners, ordered by name.
+    """
+
+    __slots__ = ('index', 'processes')
+
+    def __init__(self, index: int, processes: tuple[Process, ...]) -> None:
+        self.index = index
+        self.processes = processes
+
+    def list_voters(self) -> tuple[Process, ...]:
+        """Return the voters of the log."""
+        return tuple(known for known in self.processes if known.votes)
+
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names of all processes."""
+        return tuple(known.name for known in self.processes)
+
+
+@messages.register('roster.control_changed')
+class ControlChanged(messages.Message):
+    """The control processes that this process knows changed."""
+
+    __slots__ = ('roster',)
+
+    def __init__(self, roster: Roster) -> None:
+        self.roster = roster
--- a/shallotwharf/components/tables/const.py
+++ b/shallotwharf/components/tables/const.py
@@ -1,5 +1,6 @@
 """Keys and limits of the tables."""
 
+import types
 import typing
 
 CONF_ROUTES: typing.Final = 'routes'
@@ -13,6 +14,10 @@
 CONF_IDEMPOTENT: typing.Final = 'idempotent'
 CONF_ONCE_ONLY: typing.Final = 'once_only'
 CONF_RETRIES: typing.Final = 'retries'
+CONF_HOST: typing.Final = 'host'
+CONF_SHARES: typing.Final = 'shares'
+CONF_AIM_MS: typing.Final = 'aim_ms'
+CONF_REVISION: typing.Final = 'revision'
 CONF_SERVICE: typing.Final = 'service'
 CONF_WEIGHTS: typing.Final = 'weights'
 CONF_SLOW_MS: typing.Final = 'slow_ms'
@@ -44,8 +49,11 @@
 DEFAULT_RETRIES: typing.Final = 1
 DEFAULT_SLOW_MS: typing.Final = 1000
 
+MAX_SHARE: typing.Final = 1_000_000
+MAX_REVISION: typing.Final = 2**32 - 1
 MAX_TIMEOUT_MS: typing.Final = 600_000
 MAX_RETRIES: typing.Final = 5
+NO_SHARES: typing.Final = types.MappingProxyType[str, int]({})
 MAX_NAME_LENGTH: typing.Final = 100
 WEIGHT_SUM: typing.Final = 100
 # Shares of traffic are counted in hundredths of a percent.
--- a/shallotwharf/components/tables/difference.py
+++ b/shallotwharf/components/tables/difference.py
@@ -21,6 +21,7 @@
         digest: digest of the result.
         routes, pools, moves, holders: entries that are new or changed.
         removals: keys of removed entries, such as `route/order-status`.
+        revision: operators' number of the resulting tables.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         'moves',
         'holders',
         'removals',
+        'revision',
     )
 
     def __init__(
@@ -46,6 +48,7 @@
         moves: tuple[version.Move, ...],
         holders: tuple[version.HolderGroup, ...],
         removals: tuple[str, ...],
+        revision: int = 0,
     ) -> None:
         self.base = base
         self.base_digest = base_digest
@@ -56,6 +59,7 @@
         self.moves = moves
         self.holders = holders
         self.removals = removals
+        self.revision = revision
 
 
 def compute_difference(
@@ -78,6 +82,7 @@
         _select(changed, version.Move),
         _select(changed, version.HolderGroup),
         tuple(sorted(before.keys() - after.keys())),
+        target.tables.revision,
     )
 
 
@@ -111,6 +116,7 @@
         version.Tables(
             _select(entries, route.Route),
             _select(entries, pool.Pool),
+            change.revision,
         ),
         _select(entries, version.Move),
         _select(entries, version.HolderGroup),
--- a/shallotwharf/components/tables/document.py
+++ b/shallotwharf/components/tables/document.py
@@ -47,7 +47,7 @@
 
 def _check_weights(raw: dict[str, int]) -> dict[str, int]:
     total = sum(raw.values())
-    if total != const.WEIGHT_SUM:
+    if raw and total != const.WEIGHT_SUM:
         raise voluptuous.Invalid(
             f'the weights sum to {total}, not {const.WEIGHT_SUM}',
         )
@@ -68,7 +68,16 @@
             [voluptuous.In(const.METHODS)],
             voluptuous.Length(min=1),
         ),
-        voluptuous.Required(const.CONF_POOL): _NAME,
+        voluptuous.Exclusive(const.CONF_POOL, 'pools'): _NAME,
+        voluptuous.Exclusive(const.CONF_SHARES, 'pools'): voluptuous.All(
+            {_NAME: _check_int(0, const.MAX_SHARE)},
+            voluptuous.Length(min=1),
+        ),
+        voluptuous.Optional(const.CONF_HOST, default=''): str,
+        voluptuous.Optional(const.CONF_AIM_MS, default=0): _check_int(
+            0,
+            const.MAX_TIMEOUT_MS,
+        ),
         voluptuous.Optional(
             const.CONF_PRIORITY,
             default=const.DEFAULT_PRIORITY,
@@ -90,7 +99,10 @@
     {
         voluptuous.Required(const.CONF_NAME): _NAME,
         voluptuous.Required(const.CONF_SERVICE): _NAME,
-        voluptuous.Required(const.CONF_WEIGHTS): voluptuous.All(
+        voluptuous.Optional(
+            const.CONF_WEIGHTS,
+            default=dict,
+        ): voluptuous.All(
             {_NAME: _check_int(0, const.WEIGHT_SUM)},
             _check_weights,
         ),
@@ -106,7 +118,13 @@
 )
 
 _ROUTES: typing.Final = voluptuous.Schema(
-    {voluptuous.Required(const.CONF_ROUTES): [_ROUTE]},
+    {
+        voluptuous.Required(const.CONF_ROUTES): [_ROUTE],
+        voluptuous.Optional(const.CONF_REVISION, default=0): _check_int(
+            0,
+            const.MAX_REVISION,
+        ),
+    },
 )
 _POOLS: typing.Final = voluptuous.Schema(
     {voluptuous.Required(const.CONF_POOLS): [_POOL]},
@@ -143,6 +161,7 @@
     tables = version.Tables(
         tuple(_build_route(row) for row in parsed[0][const.CONF_ROUTES]),
         tuple(_build_pool(row) for row in parsed[1][const.CONF_POOLS]),
+        parsed[0][const.CONF_REVISION],
     )
     check_tables(tables)
     return tables
@@ -170,8 +189,13 @@
     tables: version.Tables,
 ) -> tuple[dict[str, typing.Any], dict[str, typing.Any]]:
     """Return the JSON documents of routes and pools."""
+    routes: dict[str, typing.Any] = {
+        const.CONF_ROUTES: [_write_route(row) for row in tables.routes],
+    }
+    if tables.revision:
+        routes[const.CONF_REVISION] = tables.revision
     return (
-        {const.CONF_ROUTES: [_write_route(row) for row in tables.routes]},
+        routes,
         {const.CONF_POOLS: [_write_pool(row) for row in tables.pools]},
     )
 
@@ -187,12 +211,15 @@
         row[const.CONF_NAME],
         row[const.CONF_PATH_PREFIX],
         tuple(sorted(row[const.CONF_METHODS])),
-        row[const.CONF_POOL],
+        row.get(const.CONF_POOL, ''),
         row[const.CONF_PRIORITY],
         row[const.CONF_TIMEOUT_MS],
         row.get(const.CONF_IDEMPOTENT, _is_safe(row)),
         once_only,
         row[const.CONF_RETRIES],
+        row[const.CONF_HOST],
+        row.get(const.CONF_SHARES, const.NO_SHARES),
+        row[const.CONF_AIM_MS],
     )
 
 
@@ -234,16 +261,17 @@
     row: route.Route,
     pools: abc.Container[str],
 ) -> list[errors.TablesError]:
-    faults = []
-    if row.pool not in pools:
-        faults.append(
-            _fault(
-                f'pool {row.pool} is not in the table of pools',
-                const.CONF_ROUTES,
-                row.name,
-                const.CONF_POOL,
-            ),
+    key = const.CONF_SHARES if row.shares else const.CONF_POOL
+    faults = [
+        _fault(
+            f'pool {name} is not in the table of pools',
+            const.CONF_ROUTES,
+            row.name,
+            key,
         )
+        for name in row.list_pools()
+        if name not in pools
+    ]
     if row.once_only and row.idempotent:
         faults.append(
             _fault(
@@ -258,7 +286,7 @@
 
 
 def _check_move(row: pool.Pool) -> list[errors.TablesError]:
-    if row.move is None:
+    if row.move is None or not row.weights:
         return []
     served = [name for name, weight in row.weights.items() if weight]
     detail = ''
@@ -276,11 +304,10 @@
 
 
 def _write_route(row: route.Route) -> dict[str, typing.Any]:
-    return {
+    return _write_choices(row) | {
         const.CONF_NAME: row.name,
         const.CONF_PATH_PREFIX: row.path_prefix,
         const.CONF_METHODS: list(row.methods),
-        const.CONF_POOL: row.pool,
         const.CONF_PRIORITY: row.priority,
         const.CONF_TIMEOUT_MS: row.timeout_ms,
         const.CONF_IDEMPOTENT: row.idempotent,
@@ -289,6 +316,17 @@
     }
 
 
+def _write_choices(row: route.Route) -> dict[str, typing.Any]:
+    written: dict[str, typing.Any] = {const.CONF_POOL: row.pool}
+    if row.shares:
+        written = {const.CONF_SHARES: dict(row.shares)}
+    if row.host:
+        written[const.CONF_HOST] = row.host
+    if row.aim_ms:
+        written[const.CONF_AIM_MS] = row.aim_ms
+    return written
+
+
 def _write_pool(row: pool.Pool) -> dict[str, typing.Any]:
     written: dict[str, typing.Any] = {
         const.CONF_NAME: row.name,
--- a/shallotwharf/components/tables/pool.py
+++ b/shallotwharf/components/tables/pool.py
@@ -28,7 +28,8 @@
     Attributes:
         name: unique name.
         service: service that the upstreams announce.
-        weights: percentage of traffic by version; the sum is 100.
+        weights: percentage of traffic by version; the sum is 100. Empty if
+            all versions of the service serve it.
         slow_ms: an answer later than this counts as slow.
         move: declared move, if any.
     """
--- a/shallotwharf/components/tables/version.py
+++ b/shallotwharf/components/tables/version.py
@@ -16,18 +16,31 @@
 STATE_TAKEN_BACK: typing.Final = 'taken_back'
 
 
+# Stands for all versions of a service but the one that a move brings in.
+ANY_VERSION: typing.Final = ''
+
+
 class Tables(records.Record):
-    """The two tables, ordered by name."""
+    """The two tables, ordered by name.
+
+    Attributes:
+        routes: rows of the table of routes.
+        pools: rows of the table of pools.
+        revision: number that operators gave the tables; 0 if they do not
+            number them.
+    """
 
-    __slots__ = ('routes', 'pools')
+    __slots__ = ('routes', 'pools', 'revision')
 
     def __init__(
         self,
         routes: tuple[route.Route, ...] = (),
         pools: tuple[pool.Pool, ...] = (),
+        revision: int = 0,
     ) -> None:
         self.routes = tuple(sorted(routes, key=_read_name))
         self.pools = tuple(sorted(pools, key=_read_name))
+        self.revision = revision
 
 
 class Move(records.Record):
@@ -42,6 +55,9 @@
         share: traffic of the new version in hundredths of a percent.
         state: one of the `STATE_` names.
         reason: why it is held or was taken back; empty otherwise.
+        period_ms: time in which it must be done, from its order on; 0 if the
+            tables declare it with a due time.
+        ordered_at: wall time of the order; 0 if the tables declare it.
     """
 
     __slots__ = (
@@ -53,6 +69,8 @@
         'share',
         'state',
         'reason',
+        'period_ms',
+        'ordered_at',
     )
 
     def __init__(
@@ -65,6 +83,8 @@
         share: int = 0,
         state: str = STATE_PENDING,
         reason: str = '',
+        period_ms: int = 0,
+        ordered_at: int = 0,
     ) -> None:
         self.move_id = move_id
         self.pool = pool
@@ -74,6 +94,8 @@
         self.share = share
         self.state = state
         self.reason = reason
+        self.period_ms = period_ms
+        self.ordered_at = ordered_at
 
 
 class Holder(records.Record):
@@ -189,6 +211,8 @@
 ) -> abc.Mapping[str, int]:
     """Return the share of each version in hundredths of a percent."""
     if move is None or move.state == STATE_TAKEN_BACK:
+        if not served.weights:
+            return {ANY_VERSION: const.FULL_SHARE}
         return {
             name: weight * const.FULL_SHARE // const.WEIGHT_SUM
             for name, weight in served.weights.items()
--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -17,6 +17,7 @@
 
 COUNTER_REFUSED: typing.Final = 'upstream.refused.'
 COUNTER_QUEUED: typing.Final = 'upstream.queued'
+COUNTER_STALE: typing.Final = 'upstream.reports_stale'
 COUNTER_CRASHES: typing.Final = 'upstream.crashes'
 
 TIMER_QUEUE: typing.Final = 'queue'
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -9,6 +9,7 @@
     evidence,
     offer,
     queue,
+    reports,
     settings,
 )
 from shallotwharf.components.upstream import messages as upstream
@@ -23,6 +24,7 @@
         '_poison',
         '_announcer',
         '_offer',
+        '_reports',
         '_evidence',
         '_queue',
         '_timer_at',
@@ -31,6 +33,8 @@
     name = 'upstream'
     handlers: typing.ClassVar = {
         upstream.UpstreamStarted: 'apply_started',
+        upstream.UpstreamReported: 'apply_report',
+        upstream.UpstreamEnded: 'apply_ended',
         upstream.DrainRequested: 'apply_drain',
         upstream.UpstreamLeft: 'apply_left',
         upstream.HealthReported: 'apply_health',
@@ -61,6 +65,7 @@
             generation,
         )
         self._offer = offer.Offer()
+        self._reports = reports.Reports()
         self._evidence = evidence.Evidence(node.name)
         self._queue = queue.AdmissionQueue(limits.queue_limit)
         self._timer_at: int | None = None
@@ -80,6 +85,35 @@
             self._evidence.restart()
         return self._settle(now)
 
+    def apply_report(
+        self,
+        message: upstream.UpstreamReported,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Follow a report unless a later one is known."""
+        report = message.report
+        if not self._reports.accept(report):
+            return [effects.Count(const.COUNTER_STALE)]
+        if self._offer.start(report.described, now):
+            self._evidence.restart()
+        if report.draining and self._offer.drain():
+            self._refuse_waiting(const.REASON_DRAINING)
+        return self._settle(now)
+
+    def apply_ended(
+        self,
+        message: upstream.UpstreamEnded,
+        _sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Remove the upstream if the instance that ends is the current one."""
+        self._reports.end(message.instance, message.started_at)
+        started = self._offer.started
+        if started is None or not self._reports.has_ended(started.instance):
+            return []
+        return self.apply_left(upstream.UpstreamLeft(), _sender, now)
+
     def apply_drain(
         self,
         _message: upstream.DrainRequested,
@@ -159,6 +193,13 @@
             self._pump(now)
         self._announce(now)
 
+    def count_spare(self, now: int) -> int:
+        """Return the slots that are free now; 0 if the upstream is unwell."""
+        if not self._evidence.health.healthy:
+            return 0
+        taken = len(self._evidence.running) + len(self._queue)
+        return max(self._offer.count(now) - taken, 0)
+
     def count_running(self) -> int:
         """Return the requests that run."""
         return len(self._evidence.running)
@@ -202,7 +243,7 @@
             callports.UpstreamDescription,
             self._offer.started,
         )
-        return calls.Admitted(started.host, started.port)
+        return calls.Admitted(started.host, started.port, started.instance)
 
     def _wait(
         self,
@@ -271,9 +312,7 @@
         started = self._offer.started
         if started is None:
             return
-        spare = 0
-        if self._evidence.health.healthy:
-            spare = max(self._offer.count(now) - len(self._evidence.running), 0)
+        spare = self.count_spare(now)
         self.outbox.extend(
             self._announcer.note(started, self._offer.state, spare, now),
         )
--- a/shallotwharf/components/upstream/messages.py
+++ b/shallotwharf/components/upstream/messages.py
@@ -16,6 +16,32 @@
         self.described = described
 
 
+@messages.register('upstream.reported')
+class UpstreamReported(messages.Message):
+    """The upstream said how it is; the message may be late."""
+
+    __slots__ = ('report',)
+
+    def __init__(self, report: callports.UpstreamReport) -> None:
+        self.report = report
+
+
+@messages.register('upstream.ended')
+class UpstreamEnded(messages.Message):
+    """An instance of the upstream leaves for good.
+
+    Attributes:
+        instance: the instance.
+        started_at: when it started; 0 if it did not say.
+    """
+
+    __slots__ = ('instance', 'started_at')
+
+    def __init__(self, instance: str, started_at: int) -> None:
+        self.instance = instance
+        self.started_at = started_at
+
+
 @messages.register('upstream.drain_requested')
 class DrainRequested(messages.Message):
     """The upstream takes no new work, but finishes what it runs."""
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -33,6 +33,8 @@
         """Offer no more slots; return False if there is no upstream."""
         if self.started is None:
             return False
+        if self.state == membership.UPSTREAM_DRAINING:
+            return False
         self.state = membership.UPSTREAM_DRAINING
         return True
 
--- a/shallotwharf/core/callports.py
+++ b/shallotwharf/core/callports.py
@@ -52,6 +52,10 @@
     ) -> calls.Admission:
         """Admit, queue or refuse an attempt."""
 
+    @abc.abstractmethod
+    def count_spare(self, now: int) -> int:
+        """Return the slots that are free now."""
+
     @abc.abstractmethod
     def leave(self, attempt: str, result: calls.Result, now: int) -> None:
         """Note that an attempt that was admitted or queued ended."""
@@ -179,6 +183,46 @@
     def remove(self) -> None:
         """Note that the upstream is gone."""
 
+    @abc.abstractmethod
+    def report(self, report: 'UpstreamReport') -> None:
+        """Note a report that may be late."""
+
+    @abc.abstractmethod
+    def end(self, instance: str, started_at: int) -> None:
+        """Note that an instance leaves; it never comes back.
+
+        `started_at` is 0 if the instance did not say it.
+        """
+
+
+class UpstreamReport(records.Record):
+    """What an upstream said of itself, with its place in the order.
+
+    Reports may arrive late and out of order: the one that was made last
+    counts.
+
+    Attributes:
+        described: the upstream; its `instance` names one start of it.
+        draining: whether it takes no new work.
+        started_at: when the instance started, in milliseconds since the
+            epoch by its own clock; 0 if it did not say.
+        sequence: grows with each report of an instance.
+    """
+
+    __slots__ = ('described', 'draining', 'started_at', 'sequence')
+
+    def __init__(
+        self,
+        described: 'UpstreamDescription',
+        draining: bool,
+        started_at: int,
+        sequence: int,
+    ) -> None:
+        self.described = described
+        self.draining = draining
+        self.started_at = started_at
+        self.sequence = sequence
+
 
 class UpstreamDescription(records.Record):
     """An upstream as it announces itself.
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -17,6 +17,14 @@
 OUTCOME_LATE: typing.Final = 'late'
 OUTCOME_CANCELLED: typing.Final = 'cancelled'
 
+# An upstream itself refused a request without running it: for lack of room,
+# or since it is not the instance that the request was meant for.
+REASON_UPSTREAM_FULL: typing.Final = 'upstream_full'
+REASON_UPSTREAM_OTHER: typing.Final = 'upstream_other_instance'
+UPSTREAM_REASONS: typing.Final = frozenset(
+    (REASON_UPSTREAM_FULL, REASON_UPSTREAM_OTHER),
+)
+
 # What an observer is told of an attempt that may have run.
 OBSERVED_OK: typing.Final = 'ok'
 OBSERVED_ERROR: typing.Final = 'error'
@@ -36,6 +44,7 @@
         attempt: id given by the node before this one; empty from a caller.
         forwarded: what the node before this one chose; empty from a caller.
         key: value of the `Idempotency-Key` header; empty if none.
+        host: host that the request is for, without a port, in lower case.
     """
 
     __slots__ = (
@@ -47,6 +56,7 @@
         'attempt',
         'forwarded',
         'key',
+        'host',
     )
 
     def __init__(
@@ -59,6 +69,7 @@
         attempt: str = '',
         forwarded: str = '',
         key: str = '',
+        host: str = '',
     ) -> None:
         self.method = method
         self.target = target
@@ -68,6 +79,7 @@
         self.attempt = attempt
         self.forwarded = forwarded
         self.key = key
+        self.host = host
 
     @property
     def path(self) -> str:
@@ -89,19 +101,29 @@
         outcome: one of the `OUTCOME_` names.
         reason: why, unless it was answered.
         status: HTTP status of a whole answer, otherwise 0.
+        spare: slots that the gate had free at the end; -1 if not told.
     """
 
-    __slots__ = ('outcome', 'reason', 'status')
+    __slots__ = ('outcome', 'reason', 'status', 'spare')
 
     def __init__(
         self,
         outcome: str,
         reason: str = '',
         status: int = 0,
+        spare: int = -1,
     ) -> None:
         self.outcome = outcome
         self.reason = reason
         self.status = status
+        self.spare = spare
+
+    @property
+    def reached(self) -> bool:
+        """Tell whether the attempt arrived at an upstream, run or not."""
+        if self.outcome == OUTCOME_REFUSED:
+            return self.reason in UPSTREAM_REASONS
+        return self.outcome != OUTCOME_UNREACHED
 
 
 class Step(records.Record):
@@ -221,24 +243,24 @@
         status: HTTP status.
         reason: name of the reason.
         not_run: whether the request surely did not run.
-        retry_after_s: seconds after which a new try makes sense; 0 if none.
+        retry_after_ms: time after which a new try makes sense; 0 if none.
         outcome: how the attempt ended, for the node that chose this one.
     """
 
-    __slots__ = ('status', 'reason', 'not_run', 'retry_after_s', 'outcome')
+    __slots__ = ('status', 'reason', 'not_run', 'retry_after_ms', 'outcome')
 
     def __init__(
         self,
         status: int,
         reason: str,
         not_run: bool,
-        retry_after_s: int = 0,
+        retry_after_ms: int = 0,
         outcome: str = OUTCOME_REFUSED,
     ) -> None:
         self.status = status
         self.reason = reason
         self.not_run = not_run
-        self.retry_after_s = retry_after_s
+        self.retry_after_ms = retry_after_ms
         self.outcome = outcome
 
 
@@ -260,13 +282,19 @@
 
 
 class Admitted(Admission):
-    """The attempt holds a slot; the upstream listens at `host`, `port`."""
+    """The attempt holds a slot of an upstream.
+
+    Attributes:
+        host, port: where the upstream listens.
+        instance: its current start, as it named it.
+    """
 
-    __slots__ = ('host', 'port')
+    __slots__ = ('host', 'port', 'instance')
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, instance: str = '') -> None:
         self.host = host
         self.port = port
+        self.instance = instance
 
 
 class Refused(Admission):
--- a/shallotwharf/roles/callpath.py
+++ b/shallotwharf/roles/callpath.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from shallotwharf.adapters import outbound, services, waiting
+from shallotwharf.adapters import outbound, services, vocabulary, waiting
 from shallotwharf.components.call import caller
 from shallotwharf.components.once import messages as once
 from shallotwharf.components.upstream import gate
@@ -59,6 +59,10 @@
         self._runner.run()
         return admission
 
+    def count_spare(self, now: int) -> int:
+        """Return the slots that are free now."""
+        return self._gate.count_spare(now)
+
     def leave(self, attempt: str, result: calls.Result, now: int) -> None:
         """Note that an attempt ended."""
         self._gate.leave(attempt, result, now)
@@ -225,6 +229,14 @@
         """Note that the upstream is gone."""
         self._deliver(upstream.UpstreamLeft())
 
+    def report(self, report: callports.UpstreamReport) -> None:
+        """Note a report that may be late."""
+        self._deliver(upstream.UpstreamReported(report))
+
+    def end(self, instance: str, started_at: int) -> None:
+        """Note that an instance leaves."""
+        self._deliver(upstream.UpstreamEnded(instance, started_at))
+
     def _deliver(self, message: messages.Message) -> None:
         self._dispatcher.deliver(message, self._dispatcher.name)
 
@@ -236,6 +248,8 @@
     waiting_requests: waiting.WaitingRequests,
     process_clock: clock.Clock,
     process_counters: counters.Counters,
+    spoken: vocabulary.Vocabulary | None = None,
+    sender: outbound.Outbound | None = None,
 ) -> services.Services:
     """Return what the server for calls needs; call it on the loop.
 
@@ -251,6 +265,7 @@
         WiredGate(node_gate, EffectRunner(process_dispatcher, node_gate)),
         DispatchedGuard(process_dispatcher, waiting_requests, process_clock),
         waiting_requests,
-        outbound.Outbound(process_counters),
+        sender or outbound.Outbound(process_counters),
         process_counters,
+        spoken or vocabulary.StandardVocabulary(),
     )
