--- a/measurements/latency.py
+++ b/measurements/latency.py
@@ -327,7 +327,14 @@
         sender.send(
             HOST,
             port,
-            connection.Outgoing(start_line, headers, b'', lambda: True, done),
+            connection.Outgoing(
+                start_line,
+                headers,
+                b'',
+                lambda: True,
+                done,
+                lambda _: True,
+            ),
         )
 
     return send
--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -158,16 +158,7 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        host, port = self._address
-        try:
-            sockets = netutil.bind_sockets(port, host)
-        except OSError as error:
-            raise errors.LinkError(
-                f'cannot listen: {error.strerror}',
-                'admin.listen',
-                f'{host}:{port}',
-            ) from error
-        self._server.add_sockets(sockets)
+        _bind(self._server, self._address)
 
     async def async_close(self) -> None:
         """Stop and wait for the answers that are being written."""
@@ -175,5 +166,35 @@
         await self._server.close_all_connections()
 
 
+def serve(
+    address: tuple[str, int],
+    rules: abc.Sequence[typing.Any],
+) -> httpserver.HTTPServer:
+    """Serve tornado's rules at an IP number and port.
+
+    Raises:
+        LinkError: if the address cannot be bound.
+    """
+    server = httpserver.HTTPServer(
+        web.Application(list(rules), log_function=_ignore_request),
+        max_body_size=MAX_BODY_BYTES,
+    )
+    _bind(server, address)
+    return server
+
+
+def _bind(server: httpserver.HTTPServer, address: tuple[str, int]) -> None:
+    host, port = address
+    try:
+        sockets = netutil.bind_sockets(port, host)
+    except OSError as error:
+        raise errors.LinkError(
+            f'cannot listen: {error.strerror}',
+            'admin.listen',
+            f'{host}:{port}',
+        ) from error
+    server.add_sockets(sockets)
+
+
 def _ignore_request(_handler: web.RequestHandler) -> None:
     """Leave requests out of the log; counters show them."""
--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -18,6 +18,7 @@
 REASON_EXPIRED: typing.Final = 'deadline_too_short'
 REASON_NO_ANSWER: typing.Final = 'closed_without_answer'
 REASON_INCOMPLETE: typing.Final = 'answer_incomplete'
+REASON_UNFRAMED: typing.Final = 'answer_without_length'
 REASON_TOO_LARGE: typing.Final = 'answer_too_large'
 REASON_MALFORMED: typing.Final = 'answer_malformed'
 
@@ -38,10 +39,20 @@
         prepare: called at the moment of sending; returns False if it is too
             late to send.
         owns: tells by its headers whether an answer belongs to the request.
+        may_end_open: whether the body of an answer may end with its
+            connection, in place of a length.
         done: called once with the result, unless it was cancelled.
     """
 
-    __slots__ = ('start_line', 'headers', 'body', 'prepare', 'done', 'owns')
+    __slots__ = (
+        'start_line',
+        'headers',
+        'body',
+        'prepare',
+        'done',
+        'owns',
+        'may_end_open',
+    )
 
     def __init__(
         self,
@@ -51,6 +62,7 @@
         prepare: collections_abc.Callable[[], bool],
         done: Done,
         owns: Owns,
+        may_end_open: bool = False,
     ) -> None:
         self.start_line = start_line
         self.headers = request_headers
@@ -58,6 +70,7 @@
         self.prepare = prepare
         self.done = done
         self.owns = owns
+        self.may_end_open = may_end_open
 
 
 class Owner(abc.ABC):
@@ -204,6 +217,9 @@
         length = wire.find_body_length(answer_headers)
         if headers.is_empty(line.code, outgoing.start_line.method):
             return 0
+        if length == -1 and not outgoing.may_end_open:
+            self.fail(REASON_UNFRAMED)
+            return 0
         self._unframed = length == -1
         if self._unframed:
             # The body ends with the connection (RFC 9112, 6.3).
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -140,6 +140,7 @@
             self._prepare,
             done,
             owns,
+            may_end_open=self._services.vocabulary.may_end_open,
         )
         self._carrier = self._services.outbound.send(
             host,
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -38,6 +38,9 @@
     )
 )
 _OWN: typing.Final = frozenset((ATTEMPT, FORWARDED, OUTCOME, SPARE))
+_ATTEMPT_HEADERS: typing.Final = frozenset(
+    (ATTEMPT, DEADLINE, RETRIED, FORWARDED),
+)
 CLOSE: typing.Final = 'close'
 _YES: typing.Final = '1'
 _REPORTED: typing.Final = frozenset(
@@ -149,6 +152,11 @@
         headers[RETRIED] = _YES
 
 
+def strip_attempt(headers: httputil.HTTPHeaders) -> None:
+    """Remove what `write_attempt` set for another node."""
+    _remove(headers, _ATTEMPT_HEADERS)
+
+
 def read_result(
     status: int,
     headers: httputil.HTTPHeaders,
--- a/shallotwharf/adapters/vocabulary.py
+++ b/shallotwharf/adapters/vocabulary.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import typing
 
 from tornado import httputil
 
@@ -42,6 +43,9 @@
 
     __slots__ = ()
 
+    # Whether the body of an upstream's answer may end with its connection.
+    may_end_open: typing.ClassVar[bool]
+
     @abc.abstractmethod
     def read_request(
         self,
@@ -93,6 +97,8 @@
 
     __slots__ = ()
 
+    may_end_open = False
+
     def read_request(
         self,
         start_line: httputil.RequestStartLine,
--- a/shallotwharf/components/membership/membership.py
+++ b/shallotwharf/components/membership/membership.py
@@ -24,6 +24,7 @@
     syncer,
     wire,
 )
+from shallotwharf.components.roster import messages as roster
 from shallotwharf.core import aggregate, effects
 from shallotwharf.core import messages as core_messages
 
@@ -88,6 +89,7 @@
         relays.Subscribe: 'answer_subscription',
         relays.Changes: 'accept_changes',
         relays.DirectoryAnswer: 'accept_members',
+        roster.ControlChanged: 'change_control',
     }
 
     __slots__ = (
@@ -265,6 +267,20 @@
         """Merge changes of another data centre."""
         return self._exchange.accept(message, sender, now)
 
+    def change_control(
+        self,
+        message: roster.ControlChanged,
+        _sender: str,
+        now: int,
+    ) -> Effects:
+        """Report to the control processes, and ask them for members."""
+        names = message.roster.list_names()
+        self._reporter.change_control(names)
+        self._syncer.change_seeds(names)
+        if self._entries.others:
+            return []
+        return [*self._syncer.join(now, 0), *self._reporter.report(now, 0)]
+
     def accept_members(
         self,
         message: relays.DirectoryAnswer,
--- a/shallotwharf/components/membership/reporter.py
+++ b/shallotwharf/components/membership/reporter.py
@@ -22,6 +22,10 @@
         self._entries = known_entries
         self._controls = controls
 
+    def change_control(self, controls: tuple[str, ...]) -> None:
+        """Set the control processes that get reports."""
+        self._controls = controls
+
     def report(self, now: int, _late_ms: int) -> Effects:
         """Report if the own node is the first relay."""
         report_at = now + const.REPORT_PERIOD_MS
--- a/shallotwharf/components/membership/syncer.py
+++ b/shallotwharf/components/membership/syncer.py
@@ -31,6 +31,10 @@
         self._found: tuple[str, ...] = ()
         self._random = source
 
+    def change_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other processes for members from now on."""
+        self._seeds = seeds
+
     def find(self, members: tuple[messages.Member, ...]) -> None:
         """Note members of the own data centre that control named."""
         datacentre = self._entries.own.state.member.datacentre
--- a/shallotwharf/components/move/tally.py
+++ b/shallotwharf/components/move/tally.py
@@ -3,6 +3,9 @@
 import typing
 
 from shallotwharf.components.move import const, evidence
+from shallotwharf.components.tables import version as tables_version
+
+ANY_VERSION: typing.Final = tables_version.ANY_VERSION
 
 # An answer is much slower than the old version's if it takes more than
 # `_SLOW_FACTOR` times the time that 95 in 100 of the old version's answers
@@ -156,7 +159,7 @@
         if version == self._to_version:
             tally.new.count(outcome, slow)
             self.urgent = self.urgent or slow or outcome in _FAILURES
-        elif version == self._from_version:
+        elif self._from_version in {ANY_VERSION, version}:
             tally.old.count(outcome, slow)
             if outcome not in _FAILURES:
                 tally.limit.learn(duration_ms)
--- a/shallotwharf/components/move/watcher.py
+++ b/shallotwharf/components/move/watcher.py
@@ -4,6 +4,7 @@
 
 from shallotwharf.components.membership import messages as membership_messages
 from shallotwharf.components.move import const, fences, messages, watch
+from shallotwharf.components.roster import messages as roster
 from shallotwharf.components.tables import messages as tables_messages
 from shallotwharf.components.tables import version
 from shallotwharf.core import (
@@ -49,6 +50,7 @@
         tables_messages.VersionApplied: 'apply_version',
         membership_messages.MembersChanged: 'change_members',
         messages.NodeEvidence: 'collect',
+        roster.ControlChanged: 'change_control',
         messages.FenceRaised: 'note_fence',
         core_messages.TimerFired: 'close_slice',
     }
@@ -139,6 +141,16 @@
         self._relays = ranked[: const.RELAYS_PER_DATACENTRE]
         return []
 
+    def change_control(
+        self,
+        message: roster.ControlChanged,
+        sender: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Report to the control processes of a roster."""
+        self._control = message.roster.list_names()
+        return []
+
     def collect(
         self,
         message: messages.NodeEvidence,
--- /dev/null
+++ b/shallotwharf/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the users' platform and the product; holds no rule."""
--- /dev/null
+++ b/shallotwharf/platform/operators.py
@@ -0,0 +1,210 @@
+"""Calls of operators at a control process."""
+
+import json
+import types
+import typing
+
+from tornado import httpserver, web
+
+from shallotwharf.adapters import admin
+from shallotwharf.components.ledger import messages as ledger
+from shallotwharf.components.replica import messages as replica
+from shallotwharf.components.tables import version
+from shallotwharf.core import clock, errors, logs, messages
+from shallotwharf.platform import document
+from shallotwharf.roles.control import operations
+from shallotwharf.roles.control import seeded as control_process
+
+_OK: typing.Final = 200
+_REDIRECT: typing.Final = 307
+_INVALID: typing.Final = 400
+_NOT_FOUND: typing.Final = 404
+_CONFLICT: typing.Final = 412
+_UNAVAILABLE: typing.Final = 503
+
+# Status by the outcome of an order; others than these are no clear answer.
+_STATUSES: typing.Final = types.MappingProxyType(
+    {
+        ledger.EditAccepted: _OK,
+        ledger.EditConflict: _CONFLICT,
+        ledger.EditRefused: _INVALID,
+    },
+)
+# States of a move that ended; every other one is under way.
+_ENDED: typing.Final = types.MappingProxyType(
+    {
+        version.STATE_DONE: 'completed',
+        version.STATE_TAKEN_BACK: 'rolled_back',
+    },
+)
+_RUNNING: typing.Final = 'running'
+
+
+class _Handler(web.RequestHandler):
+    """What all calls share."""
+
+    def initialize(self, served: operations.Operations) -> None:
+        self._served = served
+
+    def log_exception(self, *exc_info: typing.Any) -> None:
+        logs.warn('operator_failed', path=self.request.path, error=exc_info[1])
+
+    async def _async_order(self, command: ledger.Command) -> None:
+        outcome = await self._served.async_order(command)
+        logs.write(
+            'order_answered',
+            order=command.tag,
+            outcome=outcome.tag,
+            detail=getattr(outcome, 'detail', ''),
+        )
+        if isinstance(outcome, replica.NotLeader):
+            self._redirect()
+            return
+        self._reply(
+            _STATUSES.get(type(outcome), _UNAVAILABLE),
+            _describe(outcome),
+        )
+
+    def _check_leading(self) -> bool:
+        leading = self._served.is_leading()
+        if not leading:
+            self._redirect()
+        return leading
+
+    def _redirect(self) -> None:
+        leader = self._served.find_leader()
+        if leader is None:
+            self._reply(_UNAVAILABLE, {'reason': 'no_leader'})
+            return
+        origin = f'http://{leader.host}:{leader.admin_port}'
+        self.set_header('Location', f'{origin}{self.request.uri}')
+        self._reply(_REDIRECT, {'reason': 'not_leader'})
+
+    def _reply(self, status: int, told: typing.Any) -> None:
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(told))
+
+
+class ConfigHandler(_Handler):
+    """Replaces and reads the configuration."""
+
+    async def put(self) -> None:
+        """Accept a configuration."""
+        try:
+            order = document.read_order(
+                self.request.body,
+                self.request.remote_ip or '',
+                self._served.read_wall(),
+            )
+        except errors.ProtocolError as error:
+            logs.write('order_refused', error=error)
+            self._reply(_INVALID, {'reason': error.detail})
+            return
+        await self._async_order(order)
+
+    def get(self) -> None:
+        """Return the newest configuration, or nothing."""
+        if not self._check_leading():
+            return
+        stored = self._served.read_document()
+        if not stored:
+            self._reply(_NOT_FOUND, {'reason': 'no_configuration'})
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.finish(document.write_document(stored))
+
+
+class RolloutsHandler(_Handler):
+    """Orders moves."""
+
+    async def post(self) -> None:
+        """Order the move of a service to a version."""
+        try:
+            order = _read_move(self.request.body, self._served.read_wall())
+        except (ValueError, TypeError, KeyError) as error:
+            self._reply(_INVALID, {'reason': repr(error)})
+            return
+        await self._async_order(order)
+
+
+class RolloutHandler(_Handler):
+    """Tells how far the move of a service is."""
+
+    def get(self, service: str) -> None:
+        """Return the state of the latest move."""
+        if not self._check_leading():
+            return
+        moves = self._served.list_moves(service)
+        if not moves:
+            self._reply(_NOT_FOUND, {'reason': 'no_rollout'})
+            return
+        latest = max(moves, key=_read_order_time)
+        self._reply(
+            _OK,
+            {
+                'state': _ENDED.get(latest.state, _RUNNING),
+                'toVersion': latest.to_version,
+            },
+        )
+
+
+class MetricsHandler(_Handler):
+    """Serves the counters."""
+
+    def get(self) -> None:
+        """Return all counters as text."""
+        self.set_header('Content-Type', 'text/plain')
+        self.finish(self._served.render_counters())
+
+
+class OperatorsFrontEnd(control_process.FrontEnd):
+    """Serves operators at the address that the platform names."""
+
+    __slots__ = ('_address', '_server')
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._server: httpserver.HTTPServer | None = None
+
+    def listen(self, served: operations.Operations) -> None:
+        """Accept requests."""
+        arguments = {'served': served}
+        self._server = admin.serve(
+            self._address,
+            [
+                ('/-/config', ConfigHandler, arguments),
+                ('/-/rollouts', RolloutsHandler, arguments),
+                ('/-/rollouts/([^/]+)', RolloutHandler, arguments),
+                ('/metrics', MetricsHandler, arguments),
+            ],
+        )
+
+    async def async_close(self) -> None:
+        """Stop and wait for the answers that are being written."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+def _read_move(body: bytes, wall_now: int) -> ledger.OrderMove:
+    found = json.loads(body)
+    period_ms = round(float(found['periodS']) * clock.SECOND_MS)
+    if period_ms <= 0:
+        raise ValueError('the period is not above 0')
+    return ledger.OrderMove(
+        str(found['service']),
+        str(found['toVersion']),
+        period_ms,
+        wall_now,
+    )
+
+
+def _describe(outcome: messages.Message) -> dict[str, typing.Any]:
+    told = {'result': outcome.tag}
+    detail = getattr(outcome, 'detail', '')
+    return told | {'detail': detail} if detail else told
+
+
+def _read_order_time(move: version.Move) -> int:
+    return move.ordered_at
--- /dev/null
+++ b/shallotwharf/platform/settings.py
@@ -0,0 +1,175 @@
+"""Settings of a process, from the JSON that `deploy/` has templates of."""
+
+import typing
+
+import voluptuous
+
+from shallotwharf.components.call import budget
+from shallotwharf.core import clock, errors, places, records, schema
+from shallotwharf.roles.settings import files, seeded
+
+_STEP: typing.Final = 'platform.settings'
+
+# Part of the platform's bounds on retries that is used: retried runs repeat
+# their own calls, and the rest is for those.
+_BUDGET_PART: typing.Final = 0.5
+# Attempts refused on the way to an upstream; each takes a hop of some 1 ms.
+_FREE_REFUSALS: typing.Final = 6
+# Callers leave after two misses of the readiness, which is asked once a
+# second.
+_LEAVE_MS: typing.Final = 2500
+# Time kept before the platform ends a process by force.
+_STOP_MARGIN_MS: typing.Final = 300
+
+
+def _check_address(raw: typing.Any) -> tuple[str, int]:
+    host, _, port = str(raw).rpartition(':')
+    if not host or not port.isdecimal():
+        raise voluptuous.Invalid('expected HOST:PORT')
+    return host, int(port)
+
+
+_COMMON: typing.Final = voluptuous.Schema(
+    {
+        voluptuous.Required('label'): str,
+        voluptuous.Required('host'): str,
+        voluptuous.Required('datacentre'): str,
+        voluptuous.Required('region'): str,
+        voluptuous.Required('ports'): [voluptuous.Coerce(int)],
+        voluptuous.Required('seeds'): [_check_address],
+    },
+)
+_CONTROL: typing.Final = _COMMON.extend(
+    {
+        voluptuous.Required('operators'): _check_address,
+        voluptuous.Required('may_found'): bool,
+        voluptuous.Required('lost_disks'): voluptuous.Coerce(int),
+        voluptuous.Required('data_folder'): str,
+    },
+)
+_NODE: typing.Final = _COMMON.extend(
+    {
+        voluptuous.Required('callers'): _check_address,
+        voluptuous.Required('nodes'): _check_address,
+        voluptuous.Required('readiness'): _check_address,
+        voluptuous.Required('reports'): _check_address,
+        voluptuous.Required('upstream'): _check_address,
+        voluptuous.Required('service'): str,
+        voluptuous.Required('retry_ratio'): voluptuous.Coerce(float),
+        voluptuous.Required('retry_extra'): voluptuous.Coerce(float),
+        voluptuous.Required('retry_window_s'): voluptuous.Coerce(float),
+        voluptuous.Required('stop_s'): voluptuous.Coerce(float),
+    },
+)
+
+
+class NodePorts(records.Record):
+    """What only the adapter needs of a node's settings.
+
+    Attributes:
+        readiness: where the platform asks whether the node is ready.
+        reports: where the upstream checks in.
+        upstream: where the upstream listens.
+        service: service of the upstream.
+        datacentre: data centre of the machine.
+    """
+
+    __slots__ = ('readiness', 'reports', 'upstream', 'service', 'datacentre')
+
+    def __init__(
+        self,
+        readiness: tuple[str, int],
+        reports: tuple[str, int],
+        upstream: tuple[str, int],
+        service: str,
+        datacentre: str,
+    ) -> None:
+        self.readiness = readiness
+        self.reports = reports
+        self.upstream = upstream
+        self.service = service
+        self.datacentre = datacentre
+
+
+def read_control(path: str) -> seeded.SeededControl:
+    """Return the settings of a control process.
+
+    Raises:
+        SettingsError: if the file cannot be read.
+        ExceptionGroup: of `SettingsError`, one for each fault.
+    """
+    found = _read(path, _CONTROL)
+    port = found['operators'][1]
+    return seeded.SeededControl(
+        seeded.name_process(found['host']),
+        _build_place(found, port),
+        _build_seeds(found, port),
+        found['may_found'],
+        2 * found['lost_disks'] + 1,
+        found['data_folder'],
+    )
+
+
+def read_node(path: str) -> tuple[seeded.SeededNode, NodePorts]:
+    """Return the settings of a node; raises as `read_control` does."""
+    found = _read(path, _NODE)
+    node = seeded.SeededNode(
+        seeded.name_process(found['host']),
+        _build_place(found, found['reports'][1]),
+        found['nodes'][1],
+        found['callers'][1],
+        _build_seeds(found, found['reports'][1]),
+        _build_retries(found),
+        _LEAVE_MS,
+        round(found['stop_s'] * clock.SECOND_MS) - _STOP_MARGIN_MS,
+    )
+    ports = NodePorts(
+        found['readiness'],
+        found['reports'],
+        found['upstream'],
+        found['service'],
+        found['datacentre'],
+    )
+    return node, ports
+
+
+def _read(path: str, table: voluptuous.Schema) -> dict[str, typing.Any]:
+    checked: dict[str, typing.Any] = schema.check_document(
+        table,
+        files.read_document(path),
+        errors.SettingsError,
+        _STEP,
+    )
+    return checked
+
+
+def _build_place(found: dict[str, typing.Any], port: int) -> places.Place:
+    return places.Place(
+        found['datacentre'],
+        found['region'],
+        found['host'],
+        found['ports'][0],
+        port,
+    )
+
+
+def _build_seeds(
+    found: dict[str, typing.Any],
+    port: int,
+) -> tuple[places.Place, ...]:
+    # Ports are the same on all machines.
+    return tuple(
+        places.Place('', '', host, found['ports'][0], port)
+        for host, _ in found['seeds']
+    )
+
+
+def _build_retries(found: dict[str, typing.Any]) -> budget.Limits:
+    extra = found['retry_extra'] * _BUDGET_PART
+    return budget.Limits(
+        found['retry_ratio'] * _BUDGET_PART,
+        extra / found['retry_window_s'] / 2,
+        extra / 2,
+        is_shared=True,
+        free_refusals=_FREE_REFUSALS,
+    )
--- /dev/null
+++ b/shallotwharf/platform/vocabulary.py
@@ -0,0 +1,137 @@
+"""Headers of callers and upstreams on the users' platform."""
+
+import json
+import typing
+
+from tornado import httputil
+
+from shallotwharf.adapters import answers, headers, vocabulary
+from shallotwharf.core import calls, clock
+
+# Id of one attempt of a caller; upstreams echo it.
+_ATTEMPT: typing.Final = 'Attempt-Id'
+_DEADLINE: typing.Final = 'Deadline-Ms'
+# Start of the upstream that is meant; any other one refuses.
+_INSTANCE: typing.Final = 'Target-Instance'
+# Service of the machine on which a call began.
+_CALLER: typing.Final = 'Caller-Service'
+# Proof that an answer is the upstream's own.
+_SIGNATURE: typing.Final = 'Response-Signature'
+# The upstream did not run the request.
+_NOT_RUN: typing.Final = 'Not-Executed'
+_ENCODING: typing.Final = 'Content-Encoding'
+
+_MISDIRECTED: typing.Final = 421
+# These promise to a caller that its request has not run.
+_PROMISES: typing.Final = frozenset((408, _MISDIRECTED, 429, 503))
+_SUCCESSES: typing.Final = range(200, 300)
+
+_REASON_UNPROVED: typing.Final = 'answer_without_proof'
+_REASON_ENCODED: typing.Final = 'answer_encoded'
+
+
+class PlatformVocabulary(vocabulary.Vocabulary):
+    """The platform's headers."""
+
+    __slots__ = ('_service',)
+
+    may_end_open = True
+
+    def __init__(self, service: str) -> None:
+        """Speak for the callers beside an upstream of a service."""
+        self._service = service
+
+    def read_request(
+        self,
+        start_line: httputil.RequestStartLine,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> calls.Request:
+        """Return a request of a caller or of another node."""
+        request = headers.read_request(start_line, request_headers, body)
+        if request.forwarded:
+            return request
+        told = request_headers.get(_DEADLINE, '')
+        return request.replace(
+            deadline_ms=int(told) if told.isdecimal() else None,
+            retried=False,
+            key='',
+        )
+
+    def mark_origin(self, request_headers: httputil.HTTPHeaders) -> None:
+        """Name the service whose machine the request began on."""
+        request_headers[_CALLER] = self._service
+
+    def write_attempt(
+        self,
+        request_headers: httputil.HTTPHeaders,
+        attempt: vocabulary.UpstreamAttempt,
+    ) -> None:
+        """Set the time that is left and the instance that is meant."""
+        headers.strip_attempt(request_headers)
+        request_headers[_DEADLINE] = str(max(attempt.deadline_ms, 0))
+        request_headers[_INSTANCE] = attempt.instance
+
+    def owns_answer(
+        self,
+        request_headers: httputil.HTTPHeaders,
+        answer_headers: httputil.HTTPHeaders,
+    ) -> bool:
+        """Compare the ids; an answer without one says nothing."""
+        echoed = answer_headers.get(_ATTEMPT)
+        return echoed is None or echoed == request_headers.get(_ATTEMPT)
+
+    def read_result(
+        self,
+        status: int,
+        answer_headers: httputil.HTTPHeaders,
+    ) -> calls.Result:
+        """Return how an attempt ended that an upstream answered.
+
+        An answer that promises what the upstream did not say, or that has no
+        proof, must not reach a caller.
+        """
+        if status in _PROMISES:
+            return _read_refusal(status, answer_headers)
+        if _ENCODING in answer_headers:
+            return calls.Result(calls.OUTCOME_CROSSED, _REASON_ENCODED)
+        proved = _SIGNATURE in answer_headers and _ATTEMPT in answer_headers
+        if status in _SUCCESSES and not proved:
+            return calls.Result(calls.OUTCOME_CROSSED, _REASON_UNPROVED)
+        return calls.Result(calls.OUTCOME_ANSWERED, '', status)
+
+    def build_refusal(
+        self,
+        step: calls.Respond,
+        request_headers: httputil.HTTPHeaders,
+    ) -> answers.Answer:
+        """Return the answer of this node to a caller."""
+        body = json.dumps({'reason': step.reason, 'not_run': step.not_run})
+        refusal = httputil.HTTPHeaders()
+        refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
+        refusal[headers.CONTENT_LENGTH] = str(len(body))
+        if _ATTEMPT in request_headers:
+            refusal[_ATTEMPT] = request_headers[_ATTEMPT]
+        if step.retry_after_ms and step.not_run:
+            seconds = step.retry_after_ms / clock.SECOND_MS
+            refusal[headers.RETRY_AFTER] = f'{seconds:.3f}'
+        status = int(step.status)
+        if status in _PROMISES and not step.not_run:
+            status = 502
+        return answers.Answer(
+            status,
+            answers.find_phrase(status),
+            refusal,
+            body.encode(),
+        )
+
+
+def _read_refusal(
+    status: int,
+    answer_headers: httputil.HTTPHeaders,
+) -> calls.Result:
+    if status == _MISDIRECTED:
+        return calls.Result(calls.OUTCOME_REFUSED, calls.REASON_UPSTREAM_OTHER)
+    if _NOT_RUN in answer_headers:
+        return calls.Result(calls.OUTCOME_REFUSED, calls.REASON_UPSTREAM_FULL)
+    return calls.Result(calls.OUTCOME_CROSSED, _REASON_UNPROVED)
--- /dev/null
+++ b/shallotwharf/roles/addresses.py
@@ -0,0 +1,39 @@
+"""Where control processes listen, from the roster."""
+
+import typing
+
+from shallotwharf.adapters import links
+from shallotwharf.components.roster import messages as roster
+from shallotwharf.core import aggregate, effects
+
+
+class ControlBook(aggregate.Aggregate):
+    """Gives the links the addresses of control processes."""
+
+    __slots__ = ('_links',)
+
+    name = 'control_addresses'
+    handlers: typing.ClassVar = {roster.ControlChanged: 'learn'}
+
+    def __init__(self, process_links: links.WebsocketLinks) -> None:
+        self._links = process_links
+
+    def start(self, now: int) -> list[effects.Effect]:
+        """Wait for the roster."""
+        return []
+
+    def learn(
+        self,
+        message: roster.ControlChanged,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Learn the addresses of all control processes."""
+        for known in message.roster.processes:
+            if known.place.host:
+                self._links.set_address(
+                    known.name,
+                    known.place.host,
+                    known.place.link_port,
+                )
+        return []
--- /dev/null
+++ b/shallotwharf/roles/node/seeded.py
@@ -0,0 +1,233 @@
+"""A node that finds control through seeds and is fed by it directly."""
+
+import abc
+import asyncio
+import typing
+import uuid
+
+from shallotwharf.adapters import inbound, outbound, services, vocabulary
+from shallotwharf.components.call import caller
+from shallotwharf.components.delivery import direct
+from shallotwharf.components.membership import membership
+from shallotwharf.components.membership import messages as member_messages
+from shallotwharf.components.move import watcher
+from shallotwharf.components.poison import poison
+from shallotwharf.components.roster import finder
+from shallotwharf.components.upstream import gate
+from shallotwharf.components.upstream import messages as upstream_messages
+from shallotwharf.components.upstream import settings as gate_settings
+from shallotwharf.core import callports, clock, logs
+from shallotwharf.roles import addresses as control_addresses
+from shallotwharf.roles import callpath, process
+from shallotwharf.roles.node import addresses, observer, refusals
+from shallotwharf.roles.settings import seeded
+
+# Operators allow bodies of up to 64 MiB.
+MAX_BODY_BYTES: typing.Final = 67_108_864
+# Upstreams and nodes keep idle connections for several seconds; a new one
+# costs an upstream a slot for a moment.
+IDLE_LIMIT_SECONDS: typing.Final = 8.0
+
+
+class NodeStatus(abc.ABC):
+    """What a front end may ask of a node."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Tell whether calls are served."""
+
+    @abc.abstractmethod
+    def render_counters(self) -> str:
+        """Return all counters as text."""
+
+
+class FrontEnd(abc.ABC):
+    """Serves the platform and the upstream beside the node."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def listen(
+        self,
+        status: NodeStatus,
+        registry: callports.UpstreamRegistry,
+    ) -> None:
+        """Accept requests.
+
+        Raises:
+            LinkError: if an address cannot be bound.
+        """
+
+    @abc.abstractmethod
+    async def async_close(self) -> None:
+        """Stop."""
+
+
+class SeededNodeProcess(process.Process, NodeStatus):
+    """Serves callers and the upstream beside it."""
+
+    __slots__ = (
+        '_settings',
+        '_front',
+        '_frame',
+        '_caller',
+        '_gate',
+        '_subscriber',
+        '_others',
+        '_services',
+        '_servers',
+        '_is_stopping',
+    )
+
+    def __init__(
+        self,
+        settings: seeded.SeededNode,
+        front: FrontEnd,
+        spoken: vocabulary.Vocabulary,
+    ) -> None:
+        self._settings = settings
+        self._front = front
+        self._is_stopping = False
+        self._frame = process.Frame(
+            settings.name,
+            settings.place.host,
+            settings.place.link_port,
+        )
+        self._build_aggregates()
+        self._services = self._build_services(spoken)
+        self._servers = (
+            inbound.CallServer(
+                self._services,
+                MAX_BODY_BYTES,
+                is_public=True,
+            ),
+            inbound.CallServer(self._services, MAX_BODY_BYTES),
+        )
+
+    async def async_start(self) -> None:
+        """Look for control and members, then accept calls."""
+        settings = self._settings
+        for seed in settings.seeds:
+            self._frame.links.set_address(
+                seeded.name_process(seed.host),
+                seed.host,
+                seed.link_port,
+            )
+        dispatcher = self._frame.dispatcher
+        self._front.listen(self, callpath.DispatchedRegistry(dispatcher))
+        await self._frame.async_start(
+            self._caller,
+            self._subscriber,
+            *self._others,
+            self._gate,
+        )
+        host = settings.place.host
+        public, private = self._servers
+        await public.async_listen(host, settings.caller_port)
+        await private.async_listen(host, settings.call_port)
+        logs.write('node_started', name=settings.name)
+
+    def is_ready(self) -> bool:
+        """Tell whether a version is in force and no shutdown has begun."""
+        return not self._is_stopping and self._caller.has_version()
+
+    def render_counters(self) -> str:
+        """Return all counters as text."""
+        return self._frame.counters.render()
+
+    async def async_stop(self) -> None:
+        """Leave while callers beside the node are still served.
+
+        The upstream may run on: other nodes are refused at once and told, so
+        that they choose another one. Callers need some time to notice that
+        the node is not ready.
+        """
+        self._is_stopping = True
+        own = self._frame.name
+        dispatcher = self._frame.dispatcher
+        dispatcher.deliver(upstream_messages.DrainRequested(), own)
+        for server in self._servers:
+            server.closing = True
+        await asyncio.sleep(self._settings.leave_ms / clock.SECOND_MS)
+        left_ms = self._settings.stop_ms - self._settings.leave_ms
+        finished = [
+            await server.async_close(left_ms / clock.SECOND_MS)
+            for server in self._servers
+        ]
+        logs.write('calls_finished', all=all(finished))
+        dispatcher.deliver(member_messages.Leave(), own)
+        await self._front.async_close()
+        await self._frame.links.async_close()
+
+    def _build_aggregates(self) -> None:
+        frame = self._frame
+        settings = self._settings
+        place = settings.place
+        started_at = frame.clock.read_wall()
+        member = member_messages.Member(
+            settings.name,
+            place.datacentre,
+            place.region,
+            place.host,
+            place.link_port,
+            settings.call_port,
+        )
+        seeds = tuple(
+            seeded.name_process(seed.host) for seed in settings.seeds
+        )
+        move_watcher = watcher.Watcher(
+            settings.name,
+            place.datacentre,
+            (),
+            started_at,
+        )
+        poison_list = poison.PoisonList(settings.name, started_at)
+        self._caller = caller.Caller(
+            member,
+            uuid.uuid4().hex[:8],
+            frame.random,
+            observer.WatchingObserver(move_watcher),
+            settings.retries,
+        )
+        self._gate = gate.Gate(
+            member,
+            gate_settings.GateSettings(),
+            refusals.ListedRequests(poison_list),
+            started_at,
+        )
+        self._subscriber = direct.DirectSubscriber(member, frame.random)
+        self._others = (
+            addresses.AddressBook(frame.links),
+            control_addresses.ControlBook(frame.links),
+            move_watcher,
+            poison_list,
+            membership.Membership(
+                member,
+                started_at,
+                seeds,
+                frame.random,
+                seeds,
+            ),
+            finder.Finder(seeds, frame.random),
+        )
+
+    def _build_services(
+        self,
+        spoken: vocabulary.Vocabulary,
+    ) -> services.Services:
+        frame = self._frame
+        return callpath.build_services(
+            frame.dispatcher,
+            self._caller,
+            self._gate,
+            frame.requests,
+            frame.clock,
+            frame.counters,
+            spoken,
+            outbound.Outbound(
+                frame.counters,
+                idle_limit_seconds=IDLE_LIMIT_SECONDS,
+            ),
+        )
--- /dev/null
+++ b/shallotwharf/roles/settings/seeded.py
@@ -0,0 +1,96 @@
+"""Settings of processes that find each other through seeds."""
+
+from shallotwharf.components.call import budget
+from shallotwharf.core import places, records
+
+
+class SeededControl(records.Record):
+    """Settings of a control process.
+
+    Attributes:
+        name: unique name of the process.
+        place: where it runs.
+        seeds: control processes that are known; the same on all of them at
+            the first start.
+        may_found: whether the whole system starts for the first time.
+        wanted_voters: voters from which on the tolerated losses of disks
+            can be borne.
+        data_folder: folder for the state of this process.
+    """
+
+    __slots__ = (
+        'name',
+        'place',
+        'seeds',
+        'may_found',
+        'wanted_voters',
+        'data_folder',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        place: places.Place,
+        seeds: tuple[places.Place, ...],
+        may_found: bool,
+        wanted_voters: int,
+        data_folder: str,
+    ) -> None:
+        self.name = name
+        self.place = place
+        self.seeds = seeds
+        self.may_found = may_found
+        self.wanted_voters = wanted_voters
+        self.data_folder = data_folder
+
+
+class SeededNode(records.Record):
+    """Settings of a node.
+
+    Attributes:
+        name: unique name of the process.
+        place: where it runs.
+        call_port: port for calls of other nodes.
+        caller_port: port for callers.
+        seeds: control processes that are known.
+        retries: how many retries the nodes may cause together.
+        leave_ms: time after the begin of a shutdown in which callers beside
+            the node are still served.
+        stop_ms: time after which a shutdown ends in any case.
+    """
+
+    __slots__ = (
+        'name',
+        'place',
+        'call_port',
+        'caller_port',
+        'seeds',
+        'retries',
+        'leave_ms',
+        'stop_ms',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        place: places.Place,
+        call_port: int,
+        caller_port: int,
+        seeds: tuple[places.Place, ...],
+        retries: budget.Limits,
+        leave_ms: int,
+        stop_ms: int,
+    ) -> None:
+        self.name = name
+        self.place = place
+        self.call_port = call_port
+        self.caller_port = caller_port
+        self.seeds = seeds
+        self.retries = retries
+        self.leave_ms = leave_ms
+        self.stop_ms = stop_ms
+
+
+def name_process(host: str) -> str:
+    """Return the name of a process, one a machine, so that seeds name it."""
+    return host
