--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -203,7 +203,7 @@
         if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
             return const.DENIED_DEADLINE
         # A call that reached no upstream yet adds no arrival to its first one.
-        is_first = bool(self._free) and not self._arrivals
+        is_first = is_free and not self._arrivals
         if not is_first and not budget.take(now):
             return const.DENIED_BUDGET
         return ''
--- a/shallotwharf/components/move/comparison.py
+++ b/shallotwharf/components/move/comparison.py
@@ -4,7 +4,12 @@
 import typing
 from collections import abc
 
-from shallotwharf.components.move import eprocess, evidence, reference
+from shallotwharf.components.move import (
+    const,
+    eprocess,
+    evidence,
+    reference,
+)
 
 # The alternatives are that the odds are this many times those of the null
 # hypothesis. The lowest one leaves room between the two, so that a good
@@ -18,12 +23,12 @@
 _FADE: typing.Final = 0.95
 _FAST_FADE: typing.Final = 0.75
 _SETTLED_CALLS: typing.Final = 50
-# Evidence of one slice counts at most this part of what is needed, so that
-# one short burst, such as a lost VM or one request that crashes an upstream,
-# does not take a version back.
-_SLICES_NEEDED: typing.Final = 4
 
 TESTS: typing.Final = 2 * len(reference.KINDS)
+# Kinds of failure that are allowed more during the warm-up.
+_LENIENT: typing.Final = frozenset(
+    kind.name for kind in reference.KINDS if kind.warm_up_rate
+)
 
 
 class KindTest:
@@ -78,19 +83,26 @@
         '_threshold',
         '_needed',
         '_limit',
+        '_lenient',
         '_exposure',
         '_fast_exposure',
         '_tests',
     )
 
-    def __init__(self, threshold: float) -> None:
+    def __init__(
+        self,
+        threshold: float,
+        slices_needed: int = const.SLICES_NEEDED,
+        lenient: abc.Container[str] = _LENIENT,
+    ) -> None:
         self.reference = reference.Reference()
         self.old = evidence.EMPTY_COUNTS
         self.new = evidence.EMPTY_COUNTS
         self._threshold = threshold
         self._needed = math.exp(threshold)
         climb = threshold + math.log(len(_MULTIPLES))
-        self._limit = climb / _SLICES_NEEDED
+        self._limit = climb / slices_needed
+        self._lenient = lenient
         self._exposure = Exposure(_FADE)
         self._fast_exposure = Exposure(_FAST_FADE)
         self._tests = tuple(KindTest() for _ in reference.KINDS)
@@ -110,7 +122,7 @@
         new_failures = row.new.read_failures()
         old_failures = row.old.read_failures()
         for number, kind in enumerate(reference.KINDS):
-            lenient = warming and kind.warm_up_rate > 0
+            lenient = warming and kind.name in self._lenient
             hits = new_failures[number]
             total = hits + old_failures[number]
             if total and not lenient:
--- a/shallotwharf/components/move/const.py
+++ b/shallotwharf/components/move/const.py
@@ -7,6 +7,7 @@
 # Shares are in hundredths of a percent, as in `tables.const.FULL_SHARE`.
 FIRST_SHARE_CONFIRMATION: typing.Final = 100
 FIRST_SHARE: typing.Final = 500
+FULL_SHARE: typing.Final = 10_000
 # Highest share that is reached while a data centre is silent.
 BLIND_SHARE: typing.Final = 2500
 
@@ -17,6 +18,9 @@
 # a summary takes 2 s to control, and a second is left for the proposal.
 MIN_STEP_MS: typing.Final = 8 * clock.SECOND_MS
 MAX_STEP_MS: typing.Final = 10 * clock.MINUTE_MS
+# Shortest step of a move within seconds: a version reaches the nodes in some
+# 50 ms, and two slices judge it.
+PERIOD_STEP_MS: typing.Final = 1200
 # Calls of the new version that a step should collect when there is time:
 # enough to find a failure rate of a few percent.
 WANTED_CALLS: typing.Final = 300
@@ -35,6 +39,10 @@
 
 # Evidence of one slice is tested at once.
 SLICE_MS: typing.Final = 500
+# Evidence of one slice counts at most the inverse of this, so that one short
+# burst, such as a lost VM or one request that crashes an upstream, does not
+# take a version back.
+SLICES_NEEDED: typing.Final = 4
 # A node reports after this many slices, or after each slice that has a
 # failure of the new version.
 SLICES_PER_REPORT: typing.Final = 2
--- a/shallotwharf/components/move/director.py
+++ b/shallotwharf/components/move/director.py
@@ -91,7 +91,7 @@
                 )
                 known = progress.Progress(move, first_share, now, wall)
             elif known.move != move:
-                known.apply(move, wall)
+                known.apply(move, now, wall)
                 self._proposed_at.pop((move.move_id, False), None)
             self._moves[move.move_id] = known
         if not self._ticking:
@@ -171,10 +171,10 @@
         key = (known.move.move_id, bool(known.fault))
         proposed_at = self._proposed_at.get(key)
         if proposed_at is not None:
-            if now - proposed_at < const.PROPOSAL_RETRY_MS:
+            if now - proposed_at < known.pace.retry_ms:
                 return []
         # Steps of the leader before may still be on their way.
-        settling = now - self._leading_since < const.MIN_STEP_MS
+        settling = now - self._leading_since < known.pace.settle_ms
         if settling and not known.fault:
             return []
         command = known.decide(
--- /dev/null
+++ b/shallotwharf/components/move/pace.py
@@ -0,0 +1,138 @@
+"""How fast a move is stepped and judged."""
+
+import abc
+import typing
+
+from shallotwharf.components.move import const, reference, schedule
+from shallotwharf.components.tables import const as tables_const
+from shallotwharf.components.tables import version
+from shallotwharf.core import clock
+
+
+class Pace(abc.ABC):
+    """Times of one move.
+
+    Attributes:
+        warm_up_ms: time from the first call of the new version in which it
+            is judged leniently.
+        lenient: kinds of failure to which that applies.
+        slices_needed: slices with evidence that a take-back needs.
+        slices_per_summary: slices after which a data centre reports.
+        settle_ms: time after a change of leader without steps.
+        retry_ms: time after which a proposal is made again.
+        full_ms: shortest time at the full share before it is watched.
+    """
+
+    __slots__ = ()
+
+    warm_up_ms: int
+    lenient: frozenset[str]
+    slices_needed: int
+    slices_per_summary: int
+    settle_ms: int
+    retry_ms: int
+    full_ms: int
+
+    @abc.abstractmethod
+    def plan_steps(
+        self,
+        position: schedule.Position,
+    ) -> tuple[schedule.Step, ...]:
+        """Return the steps that remain; none if the share is full."""
+
+    @abc.abstractmethod
+    def find_done_at(self, position: schedule.Position) -> int:
+        """Return the wall time from which a watched move may be done."""
+
+
+class DuePace(Pace):
+    """Steps within minutes or hours up to a due time."""
+
+    __slots__ = ()
+
+    warm_up_ms = const.WARM_UP_MS
+    lenient = frozenset(
+        kind.name for kind in reference.KINDS if kind.warm_up_rate
+    )
+    slices_needed = const.SLICES_NEEDED
+    slices_per_summary = const.SLICES_PER_SUMMARY
+    settle_ms = const.MIN_STEP_MS
+    retry_ms = const.PROPOSAL_RETRY_MS
+    full_ms = const.MIN_STEP_MS
+
+    def plan_steps(
+        self,
+        position: schedule.Position,
+    ) -> tuple[schedule.Step, ...]:
+        """Return the steps computed backwards from the due time."""
+        return schedule.plan_steps(position)
+
+    def find_done_at(self, position: schedule.Position) -> int:
+        """Return the end of the watch."""
+        return position.since + const.WATCH_MS
+
+
+class PeriodPace(Pace):
+    """Steps within a period of seconds.
+
+    The share stays low for half of the period, since a version may turn bad
+    late; what is left is enough to step up, to watch the full share and to
+    let the last calls of the old version end.
+    """
+
+    __slots__ = ('_begun_at', '_period_ms')
+
+    # A cold upstream is slow for about 3 s; errors are errors at once.
+    warm_up_ms = 3 * clock.SECOND_MS
+    lenient = frozenset(('slow',))
+    slices_needed = 2
+    slices_per_summary = 1
+    settle_ms = clock.SECOND_MS
+    retry_ms = clock.SECOND_MS
+    full_ms = clock.SECOND_MS
+
+    def __init__(self, begun_at: int, period_ms: int) -> None:
+        """Pace a move that was ordered at a wall time."""
+        self._begun_at = begun_at
+        self._period_ms = period_ms
+
+    def plan_steps(
+        self,
+        position: schedule.Position,
+    ) -> tuple[schedule.Step, ...]:
+        """Return the steps at fixed parts of the period."""
+        return tuple(
+            schedule.Step(
+                max(
+                    self._begun_at + round(part * self._period_ms),
+                    position.since + const.PERIOD_STEP_MS,
+                )
+                if position.share
+                else self._begun_at,
+                share,
+            )
+            for part, share in _STEPS
+            if share > position.share
+        )
+
+    def find_done_at(self, position: schedule.Position) -> int:
+        """Return the part of the period at which a good move is done."""
+        done_at = self._begun_at + round(_DONE_PART * self._period_ms)
+        return max(done_at, position.since + self.full_ms)
+
+
+# Parts of the period, and the share from then on.
+_STEPS: typing.Final = (
+    (0, const.FIRST_SHARE),
+    (0.5, const.FULL_SHARE // 5),
+    (0.6, const.FULL_SHARE // 2),
+    (0.7, tables_const.FULL_SHARE),
+)
+_DONE_PART: typing.Final = 0.85
+
+
+def find_pace(move: version.Move, begun_at: int) -> Pace:
+    """Return the pace of a move that this process knows since `begun_at`."""
+    if move.period_ms:
+        return PeriodPace(begun_at, move.period_ms)
+    return DuePace()
--- a/shallotwharf/components/move/progress.py
+++ b/shallotwharf/components/move/progress.py
@@ -5,6 +5,7 @@
     const,
     evidence,
     obstacles,
+    pace,
     schedule,
     verdict,
     watch,
@@ -29,6 +30,8 @@
         '_first_share',
         '_since',
         '_slack_ms',
+        '_pace',
+        '_steady_offset',
         '_incoming',
         '_sequences',
         '_blocked_since',
@@ -43,7 +46,10 @@
     ) -> None:
         self.move = move
         self.fault = ''
-        self.trial = verdict.Trial(1)
+        self._pace = pace.find_pace(move, wall)
+        # The wall clock may step; a period of seconds is counted without it.
+        self._steady_offset = wall - now
+        self.trial = verdict.Trial(1, self._pace)
         self.traffic = obstacles.Traffic(now)
         self._first_share = first_share
         self._since = wall
@@ -67,9 +73,15 @@
         late = self.fault and self.move.state == version.STATE_DONE
         return self.is_active or bool(late)
 
-    def apply(self, move: version.Move, wall: int) -> None:
+    @property
+    def pace(self) -> pace.Pace:
+        """Return the times of the move."""
+        return self._pace
+
+    def apply(self, move: version.Move, now: int, wall: int) -> None:
         """Follow the move in a new version."""
         known = self.move
+        wall = self._read_wall(now, wall)
         self.move = move
         changed = move.state != known.state
         if move.due_at != known.due_at:
@@ -108,15 +120,7 @@
 
     def plan(self) -> tuple[schedule.Step, ...]:
         """Return the steps that remain."""
-        return schedule.plan_steps(
-            schedule.Position(
-                self.move.share,
-                self._since,
-                self.move.due_at - self._slack_ms,
-                self._first_share,
-                self.traffic.calls_per_second,
-            ),
-        )
+        return self._pace.plan_steps(self._read_position())
 
     def decide(
         self,
@@ -128,11 +132,13 @@
 
         `expected` are the data centres from which evidence is needed.
         """
+        stamp = wall
+        wall = self._read_wall(now, wall)
         if self.fault:
             return ledger_messages.TakeBack(
                 self.move.move_id,
                 self.fault,
-                wall,
+                stamp,
             )
         if self.move.share >= tables_const.FULL_SHARE:
             return self._finish(expected, now, wall)
@@ -165,14 +171,27 @@
         now: int,
         wall: int,
     ) -> messages.Message | None:
+        state = version.STATE_WATCHING
+        begins_at = self._since + self._pace.full_ms
         if self.move.state == version.STATE_WATCHING:
-            state, wait_ms = version.STATE_DONE, const.WATCH_MS
-        else:
-            state, wait_ms = version.STATE_WATCHING, const.MIN_STEP_MS
-        if wall < self._since + wait_ms or self.find_obstacle(expected, now):
+            state = version.STATE_DONE
+            begins_at = self._pace.find_done_at(self._read_position())
+        if wall < begins_at or self.find_obstacle(expected, now):
             return None
         return self._step(tables_const.FULL_SHARE, state, '', wall)
 
+    def _read_wall(self, now: int, wall: int) -> int:
+        return now + self._steady_offset if self.move.period_ms else wall
+
+    def _read_position(self) -> schedule.Position:
+        return schedule.Position(
+            self.move.share,
+            self._since,
+            self.move.due_at - self._slack_ms,
+            self._first_share,
+            self.traffic.calls_per_second,
+        )
+
     def _hold(
         self,
         reason: str,
--- a/shallotwharf/components/move/verdict.py
+++ b/shallotwharf/components/move/verdict.py
@@ -8,6 +8,7 @@
     comparison,
     const,
     evidence,
+    pace,
     reference,
 )
 
@@ -20,15 +21,23 @@
 
     Args:
         parts: how many trials share the false-positive rate of the level.
+        paced: times of the move.
 
     Attributes:
         fault: the evidence that shows the version bad; empty if it is not.
     """
 
-    __slots__ = ('fault', '_threshold', '_comparisons', '_warm_until')
+    __slots__ = (
+        'fault',
+        '_pace',
+        '_threshold',
+        '_comparisons',
+        '_warm_until',
+    )
 
-    def __init__(self, parts: int) -> None:
+    def __init__(self, parts: int, paced: pace.Pace | None = None) -> None:
         self.fault = ''
+        self._pace = paced or pace.DuePace()
         self._threshold = math.log(
             const.LEVELS
             * parts
@@ -37,7 +46,7 @@
             / const.FALSE_POSITIVE_RATE,
         )
         self._comparisons = {
-            evidence.OVERALL: comparison.Comparison(self._threshold),
+            evidence.OVERALL: self._make_comparison(self._threshold),
         }
         self._warm_until: int | None = None
 
@@ -58,7 +67,7 @@
         """
         for row in rows:
             if self._warm_until is None and row.new.calls:
-                self._warm_until = now + const.WARM_UP_MS
+                self._warm_until = now + self._pace.warm_up_ms
             warming = share <= const.WARM_UP_SHARE and (
                 self._warm_until is None or now < self._warm_until
             )
@@ -95,12 +104,19 @@
         if known is None:
             # The parts 1 / (i * (i + 1)) of the i-th route sum to 1.
             place = len(self._comparisons)
-            known = comparison.Comparison(
+            known = self._make_comparison(
                 self._threshold + math.log(place * (place + 1)),
             )
             self._comparisons[route] = known
         return known
 
+    def _make_comparison(self, threshold: float) -> comparison.Comparison:
+        return comparison.Comparison(
+            threshold,
+            self._pace.slices_needed,
+            self._pace.lenient,
+        )
+
 
 def _describe(
     route: str,
--- a/shallotwharf/components/move/watch.py
+++ b/shallotwharf/components/move/watch.py
@@ -7,6 +7,7 @@
     const,
     evidence,
     messages,
+    pace,
     tally,
     verdict,
 )
@@ -56,7 +57,7 @@
             move.to_version,
             slow_ms,
         )
-        self.trial = verdict.Trial(const.MAX_NODES)
+        self.trial = verdict.Trial(const.MAX_NODES, pace.find_pace(move, 0))
         self._slices = 0
         self._reported_to = ''
 
@@ -82,10 +83,18 @@
 class Collection:
     """What the nodes of a data centre see; kept by the move's collector."""
 
-    __slots__ = ('trial', '_incoming', '_unsent', '_sequences', '_slices')
-
-    def __init__(self) -> None:
-        self.trial = verdict.Trial(const.MAX_DATACENTRES)
+    __slots__ = (
+        'trial',
+        '_pace',
+        '_incoming',
+        '_unsent',
+        '_sequences',
+        '_slices',
+    )
+
+    def __init__(self, paced: pace.Pace | None = None) -> None:
+        self._pace = paced or pace.DuePace()
+        self.trial = verdict.Trial(const.MAX_DATACENTRES, self._pace)
         self._incoming = evidence.Slice()
         self._unsent = evidence.Slice()
         self._sequences = Sequences()
@@ -106,7 +115,7 @@
             self.trial.update(rows, share, now)
             self._unsent.merge(rows)
         self._slices += 1
-        return self._slices % const.SLICES_PER_SUMMARY == 0
+        return self._slices % self._pace.slices_per_summary == 0
 
     def take_summary(self) -> tuple[evidence.Row, ...]:
         """Return the rows that were not reported yet."""
@@ -121,7 +130,7 @@
     def __init__(self, move: version.Move, slow_ms: int) -> None:
         self.move = move
         self.local = Local(move, slow_ms)
-        self.collection = Collection()
+        self.collection = Collection(pace.find_pace(move, 0))
 
     def apply(self, move: version.Move) -> None:
         """Follow a step of the move."""
--- a/shallotwharf/components/replica/founding.py
+++ b/shallotwharf/components/replica/founding.py
@@ -30,6 +30,10 @@
     # Whether processes with new names join without an operator.
     is_open: typing.ClassVar[bool]
 
+    @abc.abstractmethod
+    def count_least(self) -> int:
+        """Return the voters that a group keeps even if some are silent."""
+
     @abc.abstractmethod
     def list_first(self) -> tuple[str, ...]:
         """Return the processes that are asked first."""
@@ -57,6 +61,10 @@
     def __init__(self, voters: tuple[str, ...]) -> None:
         self._voters = tuple(sorted(voters))
 
+    def count_least(self) -> int:
+        """Keep all voters until an operator removes one."""
+        return len(self._voters)
+
     def list_first(self) -> tuple[str, ...]:
         """Return all voters."""
         return self._voters
@@ -114,6 +122,10 @@
         self._changed_at = 0
         self._began_at: int | None = None
 
+    def count_least(self) -> int:
+        """Return the voters with which the tolerated losses can be borne."""
+        return self._wanted
+
     def list_first(self) -> tuple[str, ...]:
         """Return the seeds."""
         return self._seeds
--- a/shallotwharf/components/replica/membership.py
+++ b/shallotwharf/components/replica/membership.py
@@ -3,6 +3,7 @@
 from shallotwharf.components.replica import (
     configuration,
     const,
+    founding,
     kernel,
     leadership,
     messages,
@@ -21,17 +22,17 @@
     voter of its data centre.
     """
 
-    __slots__ = ('_kernel', '_leadership', '_is_open', '_candidates')
+    __slots__ = ('_kernel', '_leadership', '_electorate', '_candidates')
 
     def __init__(
         self,
         shared: kernel.Kernel,
         lead: leadership.Leadership,
-        is_open: bool = False,
+        electorate: founding.Electorate,
     ) -> None:
         self._kernel = shared
         self._leadership = lead
-        self._is_open = is_open
+        self._electorate = electorate
         # Processes that greeted, by name, with their latest disk.
         self._candidates: dict[str, configuration.Member] = {}
 
@@ -75,9 +76,16 @@
             self._remove(message, now)
 
     def promote_learners(self, now: int) -> None:
-        """Make a learner that has the whole log a voter."""
+        """Make a learner that has the whole log a voter.
+
+        A silent voter goes whose data centre has another one by now.
+        """
         if not self.idle:
             return
+        succeeded = self._find_succeeded(now)
+        if succeeded:
+            self._change(self._kernel.members.without(succeeded), now)
+            return
         members = self._kernel.members
         for peer in self._leadership.peers.values():
             if not self._is_ready(peer):
@@ -116,13 +124,37 @@
     def _admit(self, greeter: configuration.Member, now: int) -> None:
         members = self._kernel.members
         room = len(members.list_members()) < const.MAX_MEMBERS
-        if self._is_open and self.idle and room:
+        if self._electorate.is_open and self.idle and room:
             self._change(members.with_learner(greeter), now)
 
+    def _find_succeeded(self, now: int) -> str:
+        """Return a silent voter that has a successor, if any."""
+        voters = self._kernel.members.voters
+        if (
+            not self._electorate.is_open
+            or len(voters) <= self._electorate.count_least()
+        ):
+            return ''
+        silent = {
+            voter.name
+            for voter in voters
+            if voter.name != self._kernel.name
+            and self._leadership.is_silent(voter.name, now)
+        }
+        present = {
+            voter.place.datacentre
+            for voter in voters
+            if voter.name not in silent
+        }
+        for voter in voters:
+            if voter.name in silent and voter.place.datacentre in present:
+                return voter.name
+        return ''
+
     def _find_replaced(self, learner: configuration.Member, now: int) -> str:
         """Return the silent voter whose place a learner takes, if any."""
         datacentre = learner.place.datacentre
-        if not self._is_open or not datacentre:
+        if not self._electorate.is_open or not datacentre:
             return ''
         for voter in self._kernel.members.voters:
             same = voter.place.datacentre == datacentre
--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -100,14 +100,12 @@
         self._elections = elections.Elections(self._kernel)
         self._leadership = leadership.Leadership(self._kernel)
         self._following = following.Following(self._kernel)
-        self._founding = founding.Founding(
-            self._kernel,
-            electorate or founding.ListedVoters(voters),
-        )
+        first = electorate or founding.ListedVoters(voters)
+        self._founding = founding.Founding(self._kernel, first)
         self._membership = membership.Membership(
             self._kernel,
             self._leadership,
-            is_open=self._founding.is_open,
+            first,
         )
         self._duties = duties.Duties(
             self._kernel,
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -93,8 +93,11 @@
     ) -> list[effects.Effect]:
         """Follow a report unless a later one is known."""
         report = message.report
+        is_new = self._reports.is_new_start(report)
         if not self._reports.accept(report):
             return [effects.Count(const.COUNTER_STALE)]
+        if is_new:
+            self._offer.started = None
         if self._offer.start(report.described, now):
             self._evidence.restart()
         if report.draining and self._offer.drain():
--- a/shallotwharf/components/upstream/reports.py
+++ b/shallotwharf/components/upstream/reports.py
@@ -35,6 +35,11 @@
         self._latest = report
         return True
 
+    def is_new_start(self, report: callports.UpstreamReport) -> bool:
+        """Tell whether a report is of a later start than the latest one."""
+        latest = self._latest
+        return latest is None or report.started_at > latest.started_at
+
     def end(self, instance: str, started_at: int) -> None:
         """Note that an instance leaves; 0 stands for its latest start."""
         latest = self._latest
--- a/shallotwharf/platform/document.py
+++ b/shallotwharf/platform/document.py
@@ -21,7 +21,9 @@
 _Json: typing.TypeAlias = dict[str, typing.Any]
 
 
-def read_order(body: bytes, operator: str, wall_now: int) -> ledger.ApplyRevision:
+def read_order(
+    body: bytes, operator: str, wall_now: int
+) -> ledger.ApplyRevision:
     """Return the command of a configuration.
 
     Raises:
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -174,9 +174,7 @@
             place.link_port,
             settings.call_port,
         )
-        seeds = tuple(
-            seeded.name_process(seed.host) for seed in settings.seeds
-        )
+        seeds = tuple(seeded.name_process(seed.host) for seed in settings.seeds)
         move_watcher = watcher.Watcher(
             settings.name,
             place.datacentre,
--- /dev/null
+++ b/tests/components/call/test_budget.py
@@ -0,0 +1,54 @@
+"""Guards against retries beyond what all nodes may cause together."""
+
+import pytest
+
+from shallotwharf.components.call import budget
+from shallotwharf.core import calls
+from tests.components.call import build
+
+SHARED = budget.Limits(0.1, 1.6, 16, is_shared=True, free_refusals=6)
+
+
+@pytest.mark.parametrize('nodes', [1, 13, 89])
+def test_parts_of_all_nodes_add_up_to_the_whole(nodes):
+    part = SHARED.divide(nodes)
+    assert part.per_second * nodes == pytest.approx(SHARED.per_second)
+    # Each node may keep one retry, else a small share would never add up.
+    assert part.cap * nodes <= max(SHARED.cap, nodes)
+
+
+def build_plan(limits, count=8):
+    made = build.build_caller(*(build.build_row(f'n{n}') for n in range(count)))
+    for entry in made._index.pools.values():
+        entry.budget = budget.RetryBudget(0, limits)
+    return made.plan(calls.Request('POST', '/cut', host='h'))
+
+
+def test_refusals_on_the_way_cost_no_retry():
+    plan = build_plan(budget.Limits(0, 0, 0, free_refusals=6))
+    step = plan.start(0)
+    refused = calls.Result(calls.OUTCOME_REFUSED, 'slots_full')
+    for _ in range(6):
+        assert isinstance(step, calls.Forward)
+        step = plan.resume(refused, 0)
+    assert isinstance(step, calls.Forward)
+    assert isinstance(plan.resume(refused, 0), calls.Respond)
+
+
+def test_refusal_by_an_upstream_costs_a_retry():
+    plan = build_plan(budget.Limits(0, 0, 0, free_refusals=6))
+    plan.start(0)
+    shed = calls.Result(calls.OUTCOME_REFUSED, calls.REASON_UPSTREAM_FULL)
+    step = plan.resume(shed, 0)
+    assert isinstance(step, calls.Respond) and step.not_run
+
+
+def test_no_more_upstreams_than_the_route_allows():
+    plan = build_plan(budget.Limits(1, 100, 100, free_refusals=6))
+    step = plan.start(0)
+    shed = calls.Result(calls.OUTCOME_REFUSED, calls.REASON_UPSTREAM_FULL)
+    arrivals = 0
+    while isinstance(step, calls.Forward):
+        arrivals += 1
+        step = plan.resume(shed, 0)
+    assert arrivals == 1 + 3
--- /dev/null
+++ b/tests/components/replica/test_growth.py
@@ -0,0 +1,210 @@
+"""Guards against two groups, and against a group that cannot bear its losses.
+
+Processes know some seeds only. The group is founded once, grows by itself,
+takes back processes that lost their disks and replaces those that are gone.
+"""
+
+import random
+
+import pytest
+
+from shallotwharf.adapters import disk
+from shallotwharf.components.ledger import ledger
+from shallotwharf.components.ledger import messages as ledger_messages
+from shallotwharf.components.replica import const, founding, messages, replica
+from shallotwharf.components.tables import pool, version
+from shallotwharf.core import places
+from tests import fakes, folders
+
+NAMES = ('c1', 'c2', 'c3', 'c4', 'c5', 'c6')
+SEEDS = ('c1', 'c3', 'c5')
+WANTED = 5
+
+
+def build_order(revision, base):
+    tables = version.Tables((), (pool.Pool('p', f's{revision}', {}),), revision)
+    return ledger_messages.ApplyRevision(
+        'o', base, tables, b'd%d' % revision, b'x%d' % revision, 0
+    )
+
+
+class Group:
+    def __init__(self, names=NAMES, seed=1, wanted=WANTED):
+        self.cluster = fakes.Cluster(seed)
+        self.seed = seed
+        self.wanted = wanted
+        self.folders = {}
+        self.disks = {}
+        self.replicas = {}
+        self.ledgers = {}
+        self.boots = 0
+        for name in names:
+            self.start(name, first=True)
+
+    def start(self, name, first=False, datacentre=''):
+        self.boots += 1
+        if name not in self.folders:
+            self.disks[name] = self.disks.get(name, 0) + 1
+            self.folders[name] = folders.FakeFolder(self.boots)
+        storage = disk.DiskStorage(
+            self.folders[name], f'{name}/{self.disks[name]}'
+        )
+        place = places.Place(datacentre or f'd{name}', 'r', name, 1, 2)
+        self.replicas[name] = replica.Replica(
+            name,
+            (),
+            storage.recover(),
+            random.Random(f'{self.seed}{name}{self.boots}'),
+            electorate=founding.SeededVoters(SEEDS, first, self.wanted),
+            place=place,
+        )
+        self.ledgers[name] = ledger.Ledger()
+        self.cluster.start(
+            name, self.ledgers[name], self.replicas[name], storage=storage
+        )
+
+    def kill(self, name):
+        self.cluster.kill(name)
+        self.replicas.pop(name)
+        self.ledgers.pop(name)
+        self.folders[name].crash()
+
+    def wipe(self, name):
+        self.kill(name)
+        self.folders.pop(name)
+
+    def find_leader(self):
+        now = self.cluster.clock.read()
+        leading = [
+            name
+            for name, known in self.replicas.items()
+            if known.is_leading(now)
+        ]
+        assert len(leading) <= 1
+        return leading[0] if leading else None
+
+    def list_voters(self):
+        leader = self.find_leader()
+        if leader is None:
+            return ()
+        members = self.replicas[leader].read_status().members
+        return tuple(sorted(voter.identity for voter in members.voters))
+
+    def wait_for_voters(self, *names, limit_ms=12_000):
+        wanted = tuple(sorted(f'{name}/{self.disks[name]}' for name in names))
+        return self.cluster.run_until(
+            lambda: self.list_voters() == wanted, limit_ms, 50
+        )
+
+    def order(self, revision, base, limit_ms=6000):
+        """Send an order to the leader until it is acknowledged."""
+
+        def is_acknowledged():
+            leader = self.find_leader()
+            if leader is None:
+                return False
+            process = self.cluster.processes[leader]
+            if 'r' in process.requests.answers:
+                found = process.requests.answers.pop('r')
+                return isinstance(found, ledger_messages.EditAccepted)
+            process.dispatcher.deliver(
+                messages.Propose('r', build_order(revision, base)), ''
+            )
+            return False
+
+        self.cluster.run_until(is_acknowledged, limit_ms, 100)
+
+    def read_revisions(self):
+        return {
+            name: known.current.tables.revision
+            for name, known in self.ledgers.items()
+        }
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_group_is_founded_once_and_acknowledges_within_seconds(seed):
+    group = Group(seed=seed)
+    group.wait_for_voters(*NAMES, limit_ms=4000)
+    group.order(7, 0)
+    group.cluster.run_for(500)
+    assert set(group.read_revisions().values()) == {7}
+
+
+def test_only_the_first_seed_founds_and_only_at_the_first_start():
+    group = Group(names=())
+    for name in ('c2', 'c3', 'c4', 'c5', 'c6'):
+        group.start(name, first=True)
+    group.start('c1', first=False)
+    group.cluster.run_for(const.FOUNDING_PATIENCE_MS + 3000)
+    assert not any(
+        known.read_status().members.voters for known in group.replicas.values()
+    )
+
+
+def test_founder_waits_for_enough_disks():
+    group = Group(names=('c1', 'c2', 'c3'))
+    group.cluster.run_for(const.FOUNDING_PATIENCE_MS - 2000)
+    assert group.list_voters() == ()
+    group.start('c4', first=True)
+    group.start('c5', first=True)
+    group.wait_for_voters('c1', 'c2', 'c3', 'c4', 'c5')
+
+
+def test_late_process_joins_by_itself():
+    group = Group(names=NAMES[:5])
+    group.wait_for_voters(*NAMES[:5])
+    group.start('c6')
+    group.wait_for_voters(*NAMES)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_order_survives_two_wiped_disks_while_the_others_lose_power(seed):
+    group = Group(seed=seed)
+    group.wait_for_voters(*NAMES)
+    group.order(7, 0)
+    # At the acknowledgement, without time for the rest to catch up.
+    leader = group.find_leader()
+    holders = sorted(
+        (name for name in NAMES),
+        key=lambda name: (
+            name != leader,
+            -group.replicas[name].read_status().last_index,
+        ),
+    )
+    for name in holders[:2]:
+        group.wipe(name)
+    for name in holders[2:]:
+        group.kill(name)
+    for name in NAMES:
+        group.start(name)
+    group.wait_for_voters(*NAMES, limit_ms=15_000)
+    group.cluster.run_for(1000)
+    assert set(group.read_revisions().values()) == {7}
+
+
+def test_empty_process_elsewhere_replaces_the_one_that_is_gone():
+    group = Group()
+    group.wait_for_voters(*NAMES)
+    group.kill('c2')
+    group.start('c7', datacentre='dc2')
+    group.wait_for_voters('c1', 'c3', 'c4', 'c5', 'c6', 'c7')
+    group.order(8, 0)
+
+
+def test_wiped_seed_finds_the_group_without_the_other_seeds():
+    group = Group()
+    group.wait_for_voters(*NAMES)
+    group.kill('c3')
+    group.wipe('c1')
+    group.start('c1')
+    group.wait_for_voters('c1', 'c2', 'c3', 'c4', 'c5', 'c6', limit_ms=15_000)
+
+
+def test_halves_that_cannot_reach_each_other_acknowledge_nothing():
+    group = Group()
+    group.wait_for_voters(*NAMES)
+    group.cluster.cut(NAMES[:3], NAMES[3:])
+    group.cluster.run_for(4000)
+    assert group.find_leader() is None
+    group.cluster.heal()
+    group.order(9, 0)
--- /dev/null
+++ b/tests/components/upstream/test_reports.py
@@ -0,0 +1,87 @@
+"""Guards against late reports that bring back an upstream that left."""
+
+import pytest
+
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.upstream import gate, messages, settings
+from shallotwharf.core import callports, calls
+
+ENTER = calls.Enter('a1', 0, 's', 'v1', 10_000, 10_000, False)
+
+
+def build_report(instance, sequence, started_at=100, draining=False):
+    described = callports.UpstreamDescription(
+        's', 'v1', '127.0.0.1', 80, 4, 0, instance
+    )
+    return messages.UpstreamReported(
+        callports.UpstreamReport(described, draining, started_at, sequence)
+    )
+
+
+def build_gate(*reports):
+    member = membership.Member('n', 'd', 'r', '127.0.0.1', 1, 2)
+    made = gate.Gate(
+        member,
+        settings.GateSettings(queue_limit=0),
+        callports.EmptyPoisonList(),
+        0,
+    )
+    for report in reports:
+        made.handle(report, '', 0)
+    return made
+
+
+def is_open(made):
+    entered = made.enter(ENTER, calls.Request('GET', '/'), 0)
+    if isinstance(entered, calls.Admitted):
+        made.leave('a1', calls.Result(calls.OUTCOME_CANCELLED), 0)
+        return entered.instance
+    return ''
+
+
+def test_admission_names_the_instance():
+    assert is_open(build_gate(build_report('i1', 1))) == 'i1'
+
+
+@pytest.mark.parametrize(
+    'late',
+    [
+        build_report('i1', 1),
+        build_report('i1', 2),
+        # Its earlier process behind a partition.
+        build_report('i0', 99, started_at=50),
+    ],
+)
+def test_late_report_does_not_reopen_a_draining_upstream(late):
+    made = build_gate(
+        build_report('i1', 1), build_report('i1', 2, draining=True), late
+    )
+    assert not is_open(made)
+
+
+def test_upstream_that_ended_does_not_come_back():
+    made = build_gate(
+        build_report('i1', 1),
+        messages.UpstreamEnded('i1', 0),
+        build_report('i1', 7),
+    )
+    assert not is_open(made)
+
+
+def test_end_of_an_earlier_start_does_not_remove_its_successor():
+    made = build_gate(
+        build_report('i1', 9),
+        build_report('i1', 1, started_at=200),
+        messages.UpstreamEnded('i1', 100),
+    )
+    assert is_open(made) == 'i1'
+    made.handle(messages.UpstreamEnded('other', 0), '', 0)
+    assert is_open(made) == 'i1'
+
+
+def test_restarted_upstream_counts_anew():
+    made = build_gate(
+        build_report('i1', 9, draining=True),
+        build_report('i1', 1, started_at=200),
+    )
+    assert is_open(made) == 'i1'
--- /dev/null
+++ b/tests/platform/test_upstreams.py
@@ -0,0 +1,65 @@
+"""Guards against check-ins of others and against unreadable ones."""
+
+import json
+
+import pytest
+
+from shallotwharf.platform import settings, upstreams
+
+PORTS = settings.NodePorts(
+    ('127.0.0.1', 1), ('127.0.0.1', 2), ('10.0.0.9', 8080), 'svc', 'plz-a'
+)
+CHECK_IN = {
+    'service': 'svc',
+    'address': '10.0.0.9:8080',
+    'zone': 'plz-a',
+    'version': 'v1',
+    'slots': 9,
+    'state': 'ready',
+    'coldRemainingS': 0,
+    'sequence': 4,
+    'born': 1700,
+}
+
+
+def read(**changes):
+    body = json.dumps(CHECK_IN | changes).encode()
+    return upstreams.read_report('i-1', body, PORTS)
+
+
+def test_check_in_becomes_a_report():
+    report = read(state='draining')
+    assert report.draining and (report.started_at, report.sequence) == (1700, 4)
+    described = report.described
+    assert (described.service, described.instance) == ('svc', 'i-1')
+    assert (described.host, described.port, described.slots) == (
+        '10.0.0.9',
+        8080,
+        9,
+    )
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': 'other'},
+        {'address': '10.0.0.8:8080'},
+        {'zone': 'elsewhere'},
+        {'state': 'unknown'},
+        {'slots': 0},
+        {'slots': '9'},
+        {'slots': True},
+        {'sequence': None},
+        {'born': 1.5},
+        {'version': 7},
+    ],
+)
+def test_check_in_of_another_writer_is_refused(changes):
+    with pytest.raises((ValueError, TypeError)):
+        read(**changes)
+
+
+@pytest.mark.parametrize('body', [b'', b'{', b'[]', b'\xff\x00', b'{}'])
+def test_unreadable_check_in_is_refused(body):
+    with pytest.raises((ValueError, TypeError, KeyError)):
+        upstreams.read_report('i-1', body, PORTS)
