Call a node ready once it knows an upstream of each pool; leave a source that lags

Change: readiness needs an upstream of each pool, at most 3 s long; a source counts as of use only if it hands out the version in force.

--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -5,6 +5,7 @@
 
 from shallotwharf.components.call import (
     budget,
+    const,
     context,
     explain,
     fences,
@@ -35,6 +36,7 @@
         '_fences',
         '_limits',
         '_nodes',
+        '_applied_at',
     )
 
     name = 'call'
@@ -73,6 +75,7 @@
         self._index = index.RouteIndex(version.EMPTY, {})
         self._limits = limits or budget.Limits()
         self._nodes = 1
+        self._applied_at: int | None = None
 
     def start(self, now: int) -> list[effects.Effect]:
         """Do nothing until a version is applied."""
@@ -98,6 +101,8 @@
                 self._fences.find_fenced(row.name, pool_move),
             )
         self._index = index.RouteIndex(applied, pools)
+        if self._applied_at is None and applied.number:
+            self._applied_at = now
         self._version = applied
         return []
 
@@ -162,6 +167,21 @@
         """Tell whether a version was applied."""
         return self._version.number > 0
 
+    def is_able(self, now: int) -> bool:
+        """Tell whether calls can be served.
+
+        That needs a version and an upstream of each pool, unless some are
+        still unknown after `const.ABLE_PATIENCE_MS`.
+        """
+        if self._applied_at is None:
+            return False
+        if now - self._applied_at >= const.ABLE_PATIENCE_MS:
+            return True
+        return all(
+            self.directory.find_any(entry.row.service, frozenset())
+            for entry in self._index.pools.values()
+        )
+
     def make_call_id(self) -> str:
         """Return a new id."""
         self._call_count += 1
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -68,6 +68,9 @@
 STATUS_BAD_GATEWAY: typing.Final = 502
 STATUS_UNAVAILABLE: typing.Final = 503
 STATUS_TIMEOUT: typing.Final = 504
+# A node counts as able to serve before it knows an upstream of each pool only
+# after this time: members of the data centre answer within about a second.
+ABLE_PATIENCE_MS: typing.Final = 3000
 # Longest time until a refused caller is told to come back; a third of the
 # route's aim where it has one, so that a second try can still be in time.
 RETRY_AFTER_MS: typing.Final = 1000
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -151,7 +151,8 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note the answer of a control process."""
-        self._source.receive_status(sender, message, now)
+        least = max(self._known_floor or 0, self._active.number)
+        self._source.receive_status(sender, message, least, now)
         return []
 
     def retry_later(
--- a/shallotwharf/components/delivery/source.py
+++ b/shallotwharf/components/delivery/source.py
@@ -44,12 +44,16 @@
         self,
         sender: str,
         status: messages.FeedStatus,
+        least: int,
         now: int,
     ) -> None:
-        """Note that the chosen process answers."""
+        """Note that the chosen process answers.
+
+        It is of use only if it hands out the version `least` at least.
+        """
         if sender == self.name:
             self._heard_at = now
-            if status.current:
+            if status.current and status.number >= least:
                 self._current_at = now
 
     def leave(self, sender: str, now: int) -> None:
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -131,7 +131,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force and no shutdown has begun."""
-        return not self._is_stopping and self._caller.has_version()
+        now = self._frame.clock.read()
+        return not self._is_stopping and self._caller.is_able(now)
 
     def render_counters(self) -> str:
         """Return all counters as text."""
--- /dev/null
+++ b/tests/components/call/test_able.py
@@ -0,0 +1,18 @@
+"""Guards against callers that are sent to a node which knows no upstream."""
+
+from shallotwharf.components.call import const
+from tests.components.call import build
+
+
+def test_node_is_able_once_it_knows_version_and_upstreams():
+    empty = build.build_caller(applied=build.version.EMPTY)
+    assert not empty.is_able(10_000)
+    made = build.build_caller()
+    assert not made.is_able(0)
+    build.announce(made, build.build_row('a'))
+    assert made.is_able(0)
+
+
+def test_pool_without_upstreams_does_not_keep_a_node_out_for_good():
+    made = build.build_caller()
+    assert made.is_able(const.ABLE_PATIENCE_MS)
--- /dev/null
+++ b/tests/components/delivery/test_direct.py
@@ -0,0 +1,146 @@
+"""Guards against nodes without relays that go back or stay behind.
+
+Control processes with real feeds hand versions to nodes; the replicated log
+is replaced by deliveries of what it would publish.
+"""
+
+import random
+
+import pytest
+
+from shallotwharf.components.delivery import direct, feed, messages
+from shallotwharf.components.membership import messages as membership
+from shallotwharf.components.replica import configuration
+from shallotwharf.components.replica import messages as replica
+from shallotwharf.components.roster import finder, registrar
+from shallotwharf.components.tables import messages as tables
+from shallotwharf.components.tables import pool, version
+from shallotwharf.core import aggregate, places
+from tests import fakes
+
+CONTROL = ('c1', 'c2', 'c3', 'c4', 'c5')
+
+
+class Recorder(aggregate.Aggregate):
+    name = 'recorder'
+    handlers = {tables.VersionApplied: 'record'}
+
+    def __init__(self):
+        self.numbers = []
+
+    def start(self, now):
+        return []
+
+    def record(self, message, sender, now):
+        number = message.applied.number
+        assert not self.numbers or number > self.numbers[-1]
+        self.numbers.append(number)
+        return []
+
+
+class World:
+    def __init__(self, seed=1):
+        self.cluster = fakes.Cluster(seed)
+        self.random = random.Random(seed)
+        self.recorders = {}
+        self.committed = ()
+        for name in CONTROL:
+            self.start_control(name)
+
+    def start_control(self, name):
+        own = messages.ControlProcess(name, f'd{name[1]}', 'r')
+        self.cluster.start(
+            name, feed.Feed(own, (own,), (), self.random), registrar.Registrar()
+        )
+        members = configuration.Configuration(
+            tuple(
+                configuration.Member(
+                    other, other, places.Place(f'd{other[1]}', 'r', other, 1, 2)
+                )
+                for other in CONTROL
+            )
+        )
+        self.deliver(name, replica.GroupChanged(1, members))
+        self.deliver(name, replica.LeaderChanged('c1', name == 'c1'))
+
+    def deliver(self, name, message):
+        self.cluster.processes[name].dispatcher.deliver(message, '')
+
+    def start_node(self, name='n', datacentre='d1'):
+        own = membership.Member(name, datacentre, 'r', name, 1, 2)
+        self.recorders[name] = Recorder()
+        self.cluster.start(
+            name,
+            direct.DirectSubscriber(own, self.random),
+            self.recorders[name],
+            finder.Finder(('c1', 'c2', 'c3'), self.random),
+        )
+
+    def commit(self, number, *names):
+        rows = (pool.Pool('p', f's{number}', {}),)
+        accepted = version.Version(number, version.Tables((), rows, number))
+        for name in names or CONTROL:
+            self.deliver(name, tables.VersionAccepted(accepted))
+
+    def wait_for(self, number, name='n', limit_ms=2000):
+        return self.cluster.run_until(
+            lambda: self.recorders[name].numbers[-1:] == [number], limit_ms
+        )
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_version_is_in_force_soon_after_its_acknowledgement(seed):
+    world = World(seed)
+    world.start_node()
+    world.commit(1)
+    world.wait_for(1)
+    world.cluster.loss = 0.05
+    for number in range(2, 12):
+        world.commit(number)
+        world.wait_for(number)
+
+
+def test_version_that_only_a_minority_knows_is_not_applied():
+    world = World()
+    world.start_node()
+    world.commit(1)
+    world.wait_for(1)
+    world.commit(2, 'c1', 'c2')
+    world.cluster.run_for(3000)
+    assert world.recorders['n'].numbers == [1]
+
+
+@pytest.mark.parametrize('fault', ['kill', 'freeze', 'minority'])
+def test_node_leaves_a_control_process_that_is_of_no_use(fault):
+    world = World()
+    world.start_node()
+    world.commit(1)
+    world.wait_for(1)
+    if fault == 'kill':
+        world.cluster.kill('c1')
+    elif fault == 'freeze':
+        world.cluster.freeze('c1')
+    else:
+        world.cluster.cut(['c1'], CONTROL[1:])
+    world.cluster.run_for(100)
+    world.commit(2, *CONTROL[1:])
+    world.wait_for(2, limit_ms=5500)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_restarted_node_applies_nothing_older_than_before(seed):
+    world = World(seed)
+    world.start_node()
+    world.commit(1)
+    world.commit(2)
+    world.wait_for(2)
+    # The process of its own data centre has not read the whole log yet.
+    world.cluster.kill('c1')
+    world.start_control('c1')
+    world.deliver('c1', replica.LeaderChanged('c2', False))
+    world.deliver('c2', replica.LeaderChanged('c2', True))
+    world.commit(1, 'c1')
+    world.cluster.kill('n')
+    world.start_node()
+    world.wait_for(2, limit_ms=6000)
+    assert world.recorders['n'].numbers == [2]
--- /dev/null
+++ b/tests/components/move/test_pace.py
@@ -0,0 +1,52 @@
+"""Guards against moves of seconds that end late or expose too much."""
+
+import pytest
+
+from shallotwharf.components.move import pace, schedule
+from shallotwharf.components.tables import version
+
+PERIOD_MS = 12_000
+
+
+def build_pace(period_ms=PERIOD_MS):
+    move = version.Move('m', 'p', '', 'v2', 0, period_ms=period_ms)
+    return pace.find_pace(move, 1000)
+
+
+def build_position(share, since):
+    return schedule.Position(share, since, 0, 500, 0)
+
+
+def run(period_ms):
+    """Return the steps taken on time, and when the move is done."""
+    paced = build_pace(period_ms)
+    share, since, taken = 0, 1000, []
+    while steps := paced.plan_steps(build_position(share, since)):
+        share, since = steps[0].share, steps[0].at
+        taken.append(((since - 1000) / period_ms, share))
+    return taken, (
+        paced.find_done_at(build_position(share, since)) - 1000
+    ) / period_ms
+
+
+@pytest.mark.parametrize('period_ms', [12_000, 15_000, 60_000])
+def test_move_is_done_within_its_period(period_ms):
+    taken, done = run(period_ms)
+    assert [share for _, share in taken] == [500, 2000, 5000, 10_000]
+    assert taken[-1][0] < done <= 0.9
+
+
+def test_share_stays_low_for_half_of_the_period():
+    taken, _ = run(PERIOD_MS)
+    assert taken[0] == (0, 500) and taken[1][0] >= 0.5
+
+
+def test_late_step_moves_those_that_follow():
+    late = build_position(500, 1000 + PERIOD_MS)
+    first = build_pace().plan_steps(late)[0]
+    assert first.at > 1000 + PERIOD_MS
+
+
+def test_declared_move_keeps_the_slow_pace():
+    declared = version.Move('m', 'p', 'v1', 'v2', 10**12)
+    assert isinstance(pace.find_pace(declared, 0), pace.DuePace)
