--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -25,6 +25,8 @@
 # healed partition is not followed by a long retransmission pause.
 _PING_SECONDS: typing.Final = 20.0
 _UNACKNOWLEDGED_MS: typing.Final = 3000
+# A stopping process has said what it had to; this is a courtesy.
+_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.2
 _REOPEN_DELAY_SECONDS: typing.Final = 0.2
 
 Deliver: typing.TypeAlias = abc.Callable[[messages.Message, str], None]
@@ -123,11 +125,17 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
+        closing = []
         for peer in self._peers.values():
             if peer.task is not None:
                 peer.task.cancel()
-            for opened in list(peer.connections):
-                await opened.close()
+            closing.extend(
+                asyncio.ensure_future(opened.close())
+                for opened in peer.connections
+            )
+        if closing:
+            # A peer that is frozen or cut off does not answer the close.
+            await asyncio.wait(closing, timeout=_CLOSE_TIMEOUT_SECONDS)
 
     def send(self, peer: str, message: messages.Message) -> bool:
         """Queue a message; return False if it was dropped at once."""
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -229,7 +229,7 @@
                 effects.Count('delivery.versions_refused'),
                 effects.Report(
                     'version_refused',
-                    {'number': number, 'reason': reason[:200]},
+                    {'number': number, 'reason': reason[: const.MAX_REASON_LENGTH]},
                 ),
             ]
         self._active = candidate
--- a/shallotwharf/components/replica/founding.py
+++ b/shallotwharf/components/replica/founding.py
@@ -149,7 +149,9 @@
             return ['others']
         lacking = self._wanted - len(present)
         patient = now - self._began_at < const.FOUNDING_PATIENCE_MS
-        return [f'{lacking} of {self._wanted}'] if lacking > 0 < patient else []
+        if lacking <= 0 or not patient:
+            return []
+        return [f'{lacking} of {self._wanted}']
 
 
 class _Seen:
--- a/shallotwharf/components/tables/const.py
+++ b/shallotwharf/components/tables/const.py
@@ -50,7 +50,7 @@
 DEFAULT_SLOW_MS: typing.Final = 1000
 
 MAX_SHARE: typing.Final = 1_000_000
-MAX_REVISION: typing.Final = 2**32 - 1
+MAX_REVISION: typing.Final = 4_294_967_295
 MAX_TIMEOUT_MS: typing.Final = 600_000
 MAX_RETRIES: typing.Final = 5
 NO_SHARES: typing.Final = types.MappingProxyType[str, int]({})
--- a/shallotwharf/platform/document.py
+++ b/shallotwharf/platform/document.py
@@ -18,6 +18,15 @@
 _KINDS: typing.Final = _REPEATABLE | {'non_idempotent'}
 _METHODS: typing.Final = tuple(sorted(tables_const.METHODS))
 
+# What reading a document of another shape raises.
+_FAULTS: typing.Final = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+)
+
 _Json: typing.TypeAlias = dict[str, typing.Any]
 
 
@@ -39,13 +48,7 @@
             _compute_digest(found),
             wall_now,
         )
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        RecursionError,
-    ) as error:
+    except _FAULTS as error:
         raise errors.ProtocolError(
             f'not a configuration: {error!r}',
             _STEP,
@@ -137,7 +140,7 @@
 
 def _read_ms(seconds: typing.Any) -> int:
     _check(type(seconds) in {int, float}, 'time')
-    return round(seconds * clock.SECOND_MS)
+    return int(round(seconds * clock.SECOND_MS))
 
 
 def _check_text(raw: typing.Any) -> str:
--- a/shallotwharf/platform/settings.py
+++ b/shallotwharf/platform/settings.py
@@ -19,7 +19,7 @@
 # second.
 _LEAVE_MS: typing.Final = 2500
 # Time kept before the platform ends a process by force.
-_STOP_MARGIN_MS: typing.Final = 300
+_STOP_MARGIN_MS: typing.Final = 800
 
 
 def _check_address(raw: typing.Any) -> tuple[str, int]:
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -15,6 +15,8 @@
 _UNAVAILABLE: typing.Final = 503
 _DRAINING: typing.Final = 'draining'
 _STATES: typing.Final = frozenset(('ready', _DRAINING))
+# What reading a check-in of another shape raises.
+_FAULTS: typing.Final = (ValueError, TypeError, KeyError, AttributeError)
 # A cold upstream is slower, but runs as many requests at once.
 _WARMUP_MS: typing.Final = 0
 
@@ -35,7 +37,7 @@
         """Take a check-in."""
         try:
             report = read_report(instance, self.request.body, self._ports)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except _FAULTS as error:
             logs.write('report_refused', instance=instance, error=repr(error))
             self._reply(_INVALID)
             return
--- a/shallotwharf/platform/vocabulary.py
+++ b/shallotwharf/platform/vocabulary.py
@@ -22,9 +22,11 @@
 _ENCODING: typing.Final = 'Content-Encoding'
 
 _MISDIRECTED: typing.Final = 421
+_BAD_GATEWAY: typing.Final = 502
 # These promise to a caller that its request has not run.
 _PROMISES: typing.Final = frozenset((408, _MISDIRECTED, 429, 503))
-_SUCCESSES: typing.Final = range(200, 300)
+_OK: typing.Final = 200
+_REDIRECT: typing.Final = 300
 
 _REASON_UNPROVED: typing.Final = 'answer_without_proof'
 _REASON_ENCODED: typing.Final = 'answer_encoded'
@@ -96,7 +98,7 @@
         if _ENCODING in answer_headers:
             return calls.Result(calls.OUTCOME_CROSSED, _REASON_ENCODED)
         proved = _SIGNATURE in answer_headers and _ATTEMPT in answer_headers
-        if status in _SUCCESSES and not proved:
+        if _OK <= status < _REDIRECT and not proved:
             return calls.Result(calls.OUTCOME_CROSSED, _REASON_UNPROVED)
         return calls.Result(calls.OUTCOME_ANSWERED, '', status)
 
@@ -110,14 +112,15 @@
         refusal = httputil.HTTPHeaders()
         refusal[headers.CONTENT_TYPE] = headers.JSON_TYPE
         refusal[headers.CONTENT_LENGTH] = str(len(body))
-        if _ATTEMPT in request_headers:
-            refusal[_ATTEMPT] = request_headers[_ATTEMPT]
+        attempt = request_headers.get(_ATTEMPT)
+        if attempt is not None:
+            refusal[_ATTEMPT] = attempt
         if step.retry_after_ms and step.not_run:
             seconds = step.retry_after_ms / clock.SECOND_MS
             refusal[headers.RETRY_AFTER] = f'{seconds:.3f}'
         status = int(step.status)
         if status in _PROMISES and not step.not_run:
-            status = 502
+            status = _BAD_GATEWAY
         return answers.Answer(
             status,
             answers.find_phrase(status),
--- a/shallotwharf/roles/control/seeded.py
+++ b/shallotwharf/roles/control/seeded.py
@@ -85,7 +85,9 @@
         logs.write(
             'control_started',
             name=self._settings.name,
-            seeds=','.join(seed.host for seed in self._settings.seeds),
+            seeds=','.join(
+                known.host for known in self._settings.seeds
+            ),
         )
 
     async def async_stop(self) -> None:
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -151,17 +151,21 @@
         dispatcher.deliver(upstream_messages.DrainRequested(), own)
         for server in self._servers:
             server.closing = True
+        ends_at = self._frame.clock.read() + self._settings.stop_ms
         await asyncio.sleep(self._settings.leave_ms / clock.SECOND_MS)
-        left_ms = self._settings.stop_ms - self._settings.leave_ms
         finished = [
-            await server.async_close(left_ms / clock.SECOND_MS)
-            for server in self._servers
+            await closed.async_close(self._count_left(ends_at))
+            for closed in self._servers
         ]
         logs.write('calls_finished', all=all(finished))
         dispatcher.deliver(member_messages.Leave(), own)
         await self._front.async_close()
         await self._frame.links.async_close()
 
+    def _count_left(self, ends_at: int) -> float:
+        left_ms = max(ends_at - self._frame.clock.read(), 0)
+        return left_ms / clock.SECOND_MS
+
     def _build_aggregates(self) -> None:
         frame = self._frame
         settings = self._settings
