--- a/shallotwharf/roles/process.py
+++ b/shallotwharf/roles/process.py
@@ -110,6 +110,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    # The settings that may change while a process runs are those that it
+    # needs at its start only.
+    loop.add_signal_handler(signal.SIGHUP, logs.write, 'reload_ignored')
     process = make_process()
     await process.async_start()
     await stopping.wait()
--- /dev/null
+++ b/tests/processes/test_signals.py
@@ -0,0 +1,32 @@
+"""Guards against processes that a signal ends although it should not."""
+
+import signal
+import subprocess
+import sys
+import time
+
+CODE = '''
+from shallotwharf.roles import process
+
+class Idle(process.Process):
+    __slots__ = ()
+    async def async_start(self):
+        print('started', flush=True)
+    async def async_stop(self):
+        print('left', flush=True)
+
+process.run(Idle, 'INFO')
+'''
+
+
+def test_changed_settings_do_not_end_a_process_and_sigterm_ends_it_well():
+    started = subprocess.Popen(
+        [sys.executable, '-c', CODE], stdout=subprocess.PIPE, text=True
+    )
+    assert started.stdout.readline() == 'started\n'
+    started.send_signal(signal.SIGHUP)
+    time.sleep(0.2)
+    assert started.poll() is None
+    started.send_signal(signal.SIGTERM)
+    assert started.stdout.read() == 'left\n'
+    assert started.wait(5) == 0
