--- a/shallotwharf/components/move/director.py
+++ b/shallotwharf/components/move/director.py
@@ -177,19 +177,39 @@
         settling = now - self._leading_since < known.pace.settle_ms
         if settling and not known.fault:
             return []
-        command = known.decide(
-            self._datacentres.list_expected(),
-            now,
-            self._clock.read_wall(),
-        )
+        expected = self._datacentres.list_expected()
+        command = known.decide(expected, now, self._clock.read_wall())
         if command is None:
-            return []
+            return self._report_obstacle(known, expected, now)
         self._proposed_at[key] = now
         return [
             effects.Publish(replica_messages.Propose('', command)),
             effects.Count(f'move.proposed.{type(command).__name__}'),
+            effects.Report(
+                'move_proposed',
+                {
+                    'move': known.move.move_id,
+                    'step': command.tag,
+                    'share': getattr(command, 'share', 0),
+                    'reason': getattr(command, 'reason', ''),
+                },
+            ),
         ]
 
+    def _report_obstacle(
+        self,
+        known: progress.Progress,
+        expected: list[str],
+        now: int,
+    ) -> list[effects.Effect]:
+        """Log what keeps a move from its next step, when that changes."""
+        obstacle = known.find_obstacle(expected, now)
+        if obstacle == known.obstacle:
+            return []
+        known.obstacle = obstacle
+        fields = {'move': known.move.move_id, 'obstacle': obstacle}
+        return [effects.Report('move_obstacle', fields)]
+
     def _keep_ticking(self, now: int) -> list[effects.Effect]:
         active = any(known.is_active for known in self._moves.values())
         if self._ticking or not active:
--- a/shallotwharf/components/move/progress.py
+++ b/shallotwharf/components/move/progress.py
@@ -27,6 +27,7 @@
         'fault',
         'trial',
         'traffic',
+        'obstacle',
         '_first_share',
         '_since',
         '_slack_ms',
@@ -51,6 +52,8 @@
         self._steady_offset = wall - now
         self.trial = verdict.Trial(1, self._pace)
         self.traffic = obstacles.Traffic(now)
+        # What was logged last.
+        self.obstacle = ''
         self._first_share = first_share
         self._since = wall
         self._slack_ms = schedule.compute_slack(move.due_at - wall)
