--- a/shallotwharf/components/move/const.py
+++ b/shallotwharf/components/move/const.py
@@ -7,7 +7,6 @@
 # Shares are in hundredths of a percent, as in `tables.const.FULL_SHARE`.
 FIRST_SHARE_CONFIRMATION: typing.Final = 100
 FIRST_SHARE: typing.Final = 500
-FULL_SHARE: typing.Final = 10_000
 # Highest share that is reached while a data centre is silent.
 BLIND_SHARE: typing.Final = 2500
 
--- a/shallotwharf/components/move/director.py
+++ b/shallotwharf/components/move/director.py
@@ -3,7 +3,6 @@
 import typing
 
 from shallotwharf.components.move import (
-    const,
     datacentres,
     messages,
     progress,
@@ -16,7 +15,6 @@
 from shallotwharf.core import messages as core_messages
 
 _TIMER_SLICE: typing.Final = 'slice'
-_SLICE_MS: typing.Final = 2 * const.SLICE_MS
 
 
 class Director(aggregate.Aggregate):
@@ -211,11 +209,15 @@
         return [effects.Report('move_obstacle', fields)]
 
     def _keep_ticking(self, now: int) -> list[effects.Effect]:
-        active = any(known.is_active for known in self._moves.values())
-        if self._ticking or not active:
+        ticks = [
+            known.pace.tick_ms
+            for known in self._moves.values()
+            if known.is_active
+        ]
+        if self._ticking or not ticks:
             return []
         self._ticking = True
-        return [effects.SetTimer(_TIMER_SLICE, now + _SLICE_MS)]
+        return [effects.SetTimer(_TIMER_SLICE, now + min(ticks))]
 
 
 def _read_pool(described: messages.MoveStatus) -> str:
--- a/shallotwharf/components/move/pace.py
+++ b/shallotwharf/components/move/pace.py
@@ -21,6 +21,7 @@
         settle_ms: time after a change of leader without steps.
         retry_ms: time after which a proposal is made again.
         full_ms: shortest time at the full share before it is watched.
+        tick_ms: how often control looks for the next step.
     """
 
     __slots__ = ()
@@ -32,6 +33,7 @@
     settle_ms: int
     retry_ms: int
     full_ms: int
+    tick_ms: int
 
     @abc.abstractmethod
     def plan_steps(
@@ -59,6 +61,7 @@
     settle_ms = const.MIN_STEP_MS
     retry_ms = const.PROPOSAL_RETRY_MS
     full_ms = const.MIN_STEP_MS
+    tick_ms = 2 * const.SLICE_MS
 
     def plan_steps(
         self,
@@ -75,7 +78,7 @@
 class PeriodPace(Pace):
     """Steps within a period of seconds.
 
-    The share stays low for half of the period, since a version may turn bad
+    The share stays low for almost half of the period, since a version may turn bad
     late; what is left is enough to step up, to watch the full share and to
     let the last calls of the old version end.
     """
@@ -90,6 +93,7 @@
     settle_ms = clock.SECOND_MS
     retry_ms = clock.SECOND_MS
     full_ms = clock.SECOND_MS
+    tick_ms = const.SLICE_MS
 
     def __init__(self, begun_at: int, period_ms: int) -> None:
         """Pace a move that was ordered at a wall time."""
@@ -124,9 +128,9 @@
 # Parts of the period, and the share from then on.
 _STEPS: typing.Final = (
     (0, const.FIRST_SHARE),
-    (0.5, const.FULL_SHARE // 5),
-    (0.6, const.FULL_SHARE // 2),
-    (0.7, tables_const.FULL_SHARE),
+    (0.45, tables_const.FULL_SHARE // 5),
+    (0.55, tables_const.FULL_SHARE // 2),
+    (0.65, tables_const.FULL_SHARE),
 )
 _DONE_PART: typing.Final = 0.85
 
