--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -197,6 +197,8 @@
                 answer.headers,
             )
         self._services.gate.leave(step.attempt, ended, now)
+        if answer is not None:
+            ended.size = len(answer.body)
         self._answer = answer
         self._resume(ended)
 
@@ -213,6 +215,7 @@
                 step.attempt,
             )
             headers.strip_own_headers(answer.headers)
+            ended.size = len(answer.body)
             if ended.outcome == calls.OUTCOME_CROSSED and self._carrier:
                 self._services.counters.add('outbound.crossed')
                 self._carrier.close()
--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -12,6 +12,7 @@
     forwarded,
     index,
     plan,
+    sizes,
     targets,
 )
 from shallotwharf.components.membership import messages as membership
@@ -29,6 +30,7 @@
         'directory',
         'random',
         'observer',
+        'sizes',
         '_id_prefix',
         '_call_count',
         '_version',
@@ -68,6 +70,7 @@
         self.directory = targets.Directory(node)
         self.random = source
         self.observer = observer
+        self.sizes = sizes.AnswerSizes()
         self._id_prefix = id_prefix
         self._call_count = 0
         self._version = version.EMPTY
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -39,6 +39,9 @@
 # One-way latencies of section 1.1 of the design, in milliseconds.
 REGION_LATENCY_MS: typing.Final = 1
 REMOTE_LATENCY_MS: typing.Final = 12
+# Answers of this mean size stay within a region: at the price of traffic
+# between regions a larger one costs more than a refusal.
+LARGE_ANSWER_BYTES: typing.Final = 32_768
 
 # Retries: a tenth of the calls and two a second for each pool of a node.
 BUDGET_PER_CALL: typing.Final = 0.1
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -3,7 +3,7 @@
 import abc
 import random
 
-from shallotwharf.components.call import index, targets
+from shallotwharf.components.call import index, sizes, targets
 from shallotwharf.core import callports
 
 
@@ -16,6 +16,7 @@
     directory: targets.Directory
     random: random.Random
     observer: callports.Observer
+    sizes: sizes.AnswerSizes
 
     @abc.abstractmethod
     def find_route(
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -112,6 +112,7 @@
         if not rule.not_run:
             self._may_have_run = True
         if not rule.status:
+            self._context.sizes.note(entry.row.name, result.size)
             return calls.Relay()
         self._tried.add(target.announcement.node.name)
         reason = result.reason or result.outcome
@@ -215,7 +216,10 @@
         target = None
         if version is not None:
             target = chooser.choose_target(
-                chooser.find_groups(pool, known.directory, version),
+                known.sizes.limit_reach(
+                    self._read_entry().row.name,
+                    chooser.find_groups(pool, known.directory, version),
+                ),
                 self._tried,
                 known.random,
                 now,
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -229,7 +229,10 @@
                 effects.Count('delivery.versions_refused'),
                 effects.Report(
                     'version_refused',
-                    {'number': number, 'reason': reason[: const.MAX_REASON_LENGTH]},
+                    {
+                        'number': number,
+                        'reason': reason[: const.MAX_REASON_LENGTH],
+                    },
                 ),
             ]
         self._active = candidate
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -102,9 +102,10 @@
         reason: why, unless it was answered.
         status: HTTP status of a whole answer, otherwise 0.
         spare: slots that the gate had free at the end; -1 if not told.
+        size: bytes of the body of a whole answer.
     """
 
-    __slots__ = ('outcome', 'reason', 'status', 'spare')
+    __slots__ = ('outcome', 'reason', 'status', 'spare', 'size')
 
     def __init__(
         self,
@@ -112,11 +113,13 @@
         reason: str = '',
         status: int = 0,
         spare: int = -1,
+        size: int = 0,
     ) -> None:
         self.outcome = outcome
         self.reason = reason
         self.status = status
         self.spare = spare
+        self.size = size
 
     @property
     def reached(self) -> bool:
--- a/shallotwharf/roles/control/seeded.py
+++ b/shallotwharf/roles/control/seeded.py
@@ -85,9 +85,7 @@
         logs.write(
             'control_started',
             name=self._settings.name,
-            seeds=','.join(
-                known.host for known in self._settings.seeds
-            ),
+            seeds=','.join(known.host for known in self._settings.seeds),
         )
 
     async def async_stop(self) -> None:
--- /dev/null
+++ b/tests/components/call/test_sizes.py
@@ -0,0 +1,35 @@
+"""Guards against large answers that cross regions."""
+
+from shallotwharf.core import calls
+from tests.components.call import build
+
+
+def build_full_region():
+    return build.build_caller(
+        build.build_row('near', spare=0),
+        build.build_row('far', 'd9', 'r9', spare=5),
+    )
+
+
+def send(made, size):
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    chosen = plan._target.announcement.node.name
+    plan.resume(calls.Result('answered', '', 200, size=size), 1)
+    return chosen
+
+
+def test_large_answers_stay_within_the_region():
+    made = build_full_region()
+    assert send(made, 90_000) == 'far'
+    assert send(made, 90_000) == 'near'
+
+
+def test_small_answers_go_where_there_is_room():
+    made = build_full_region()
+    assert [send(made, 1500) for _ in range(3)] == ['far'] * 3
+
+
+def test_region_without_an_upstream_is_left_all_the_same():
+    made = build.build_caller(build.build_row('far', 'd9', 'r9'))
+    assert [send(made, 90_000) for _ in range(2)] == ['far'] * 2
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-CODE = '''
+CODE = """
 from shallotwharf.roles import process
 
 class Idle(process.Process):
@@ -16,7 +16,7 @@
         print('left', flush=True)
 
 process.run(Idle, 'INFO')
-'''
+"""
 
 
 def test_changed_settings_do_not_end_a_process_and_sigterm_ends_it_well():
