Write bounded logs to standard output with a line for each failed decision

Cause: on-call engineers have logs and metrics alone, and no line named a request. Change: a writer that never blocks and counts what it drops, a bound on lines about single calls, and lines for refused, retried, failed and late calls with the caller's id and what decided them. Measured: unit tests with a pipe that nobody reads, a full device and forged values.

--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -14,6 +14,8 @@
 SPARE: typing.Final = 'Shallotwharf-Spare'
 # On an answer of a node to a node: how the attempt ended, and the reason.
 OUTCOME: typing.Final = 'Shallotwharf-Outcome'
+# What callers may call a request, for logs.
+REQUEST_ID: typing.Final = 'X-Request-Id'
 KEY: typing.Final = 'Idempotency-Key'
 RETRY_AFTER: typing.Final = 'Retry-After'
 CONNECTION: typing.Final = 'Connection'
@@ -131,6 +133,7 @@
         headers.get(FORWARDED, ''),
         headers.get(KEY, ''),
         read_host(headers),
+        headers.get(REQUEST_ID, ''),
     )
 
 
--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -2,6 +2,7 @@
 
 import random
 import typing
+from collections import abc as collections_abc
 
 from shallotwharf.components.call import (
     budget,
@@ -193,6 +194,15 @@
     def _make_budget(self, now: int) -> budget.RetryBudget:
         return budget.RetryBudget(now, self._limits.divide(self._nodes))
 
+    def report(
+        self,
+        event: str,
+        fields: collections_abc.Mapping[str, object],
+    ) -> None:
+        """Log a decision on a call, with the version that was in force."""
+        numbered = {**fields, 'number': self._version.number}
+        self.outbox.append(effects.Report(event, numbered, is_call=True))
+
     def count(self, name: str) -> None:
         """Add to a counter."""
         self.outbox.append(effects.Count(name))
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -2,6 +2,7 @@
 
 import abc
 import random
+from collections import abc as abc_collections
 
 from shallotwharf.components.call import index, sizes, targets
 from shallotwharf.core import callports
@@ -35,6 +36,12 @@
     def make_call_id(self) -> str:
         """Return a new id."""
 
+    @abc.abstractmethod
+    def report(
+        self, event: str, fields: abc_collections.Mapping[str, object]
+    ) -> None:
+        """Log a decision on a call."""
+
     @abc.abstractmethod
     def count(self, name: str) -> None:
         """Add to a counter."""
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -37,6 +37,7 @@
         '_target',
         '_version',
         '_sent_at',
+        '_began_at',
         '_may_have_run',
         '_guarded',
     )
@@ -60,12 +61,14 @@
         self._target: targets.Target | None = None
         self._version = ''
         self._sent_at = 0
+        self._began_at = 0
         self._may_have_run = False
         self._guarded = False
 
     def start(self, now: int) -> calls.Step:
         """Match the route; choose an upstream or ask the guard."""
         request = self._request
+        self._began_at = now
         entry = self._context.find_route(
             request.method,
             request.path,
@@ -113,10 +116,12 @@
             self._may_have_run = True
         if not rule.status:
             self._context.sizes.note(entry.row.name, result.size)
+            self._report_answer(result, now, target)
             return calls.Relay()
         self._tried.add(target.announcement.node.name)
         reason = result.reason or result.outcome
         if not rule.retry or reason in const.FINAL_REASONS:
+            self._report('call_ended', now, target, reason)
             return self._respond(rule.status, reason)
         denied = self._find_denial(
             result,
@@ -125,8 +130,10 @@
         )
         if denied:
             self._context.count(f'{const.COUNTER_RETRY_DENIED}{denied}')
+            self._report('call_not_retried', now, target, f'{reason}/{denied}')
             return self._respond(rule.status, reason)
         self._context.count(f'{const.COUNTER_RETRIED}{reason}')
+        self._report('call_retried', now, target, reason)
         return self._choose(now)
 
     def cancel(self, now: int) -> bool:
@@ -281,6 +288,45 @@
             self._is_retry(),
         )
 
+    def _report_answer(
+        self,
+        result: calls.Result,
+        now: int,
+        target: targets.Target,
+    ) -> None:
+        row = self._read_entry().row
+        if result.status >= const.STATUS_SERVER_ERROR:
+            reason = f'status_{result.status}'
+            self._report('call_failed', now, target, reason)
+        elif row.aim_ms and now - self._began_at > row.aim_ms:
+            self._report('call_late', now, target, f'aim_{row.aim_ms}')
+
+    def _report(
+        self,
+        event: str,
+        now: int,
+        target: targets.Target,
+        reason: str,
+    ) -> None:
+        """Log the end of an attempt with what decided it."""
+        announced = target.announcement
+        self._context.report(
+            event,
+            {
+                'id': self._request.label,
+                'call': f'{self._call_id}.{self._attempts}',
+                'route': self._read_entry().row.name,
+                'node': announced.node.name,
+                'served': announced.version,
+                'reason': reason,
+                'attempt_ms': now - self._sent_at,
+                'call_ms': now - self._began_at,
+                'left_ms': self._deadline_at - now,
+                'spare': target.estimate_spare(),
+                'generation': announced.generation,
+            },
+        )
+
     def _is_retry(self) -> bool:
         return self._request.retried or self._attempts > 1
 
@@ -307,6 +353,19 @@
 
     def _respond(self, status: int, reason: str) -> calls.Step:
         self._context.count(f'{const.COUNTER_REFUSED}{reason}')
+        self._context.report(
+            'call_refused',
+            {
+                'id': self._request.label,
+                'call': self._call_id,
+                'route': self._entry.row.name if self._entry else '',
+                'status': status,
+                'reason': reason,
+                'not_run': not self._may_have_run,
+                'attempts': self._attempts,
+                'reached': self._arrivals,
+            },
+        )
         retry_after_ms = 0
         if status == const.STATUS_UNAVAILABLE:
             retry_after_ms = self._find_retry_after()
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -45,6 +45,8 @@
         forwarded: what the node before this one chose; empty from a caller.
         key: value of the `Idempotency-Key` header; empty if none.
         host: host that the request is for, without a port, in lower case.
+        label: what the caller calls the request, for logs; empty if it does
+            not say.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         'forwarded',
         'key',
         'host',
+        'label',
     )
 
     def __init__(
@@ -70,6 +73,7 @@
         forwarded: str = '',
         key: str = '',
         host: str = '',
+        label: str = '',
     ) -> None:
         self.method = method
         self.target = target
@@ -80,6 +84,7 @@
         self.forwarded = forwarded
         self.key = key
         self.host = host
+        self.label = label
 
     @property
     def path(self) -> str:
--- a/shallotwharf/core/dispatcher.py
+++ b/shallotwharf/core/dispatcher.py
@@ -230,7 +230,8 @@
         _source: aggregate.Aggregate,
         effect: effects.Report,
     ) -> None:
-        logs.write(effect.event, **effect.fields)
+        write = logs.write_call if effect.is_call else logs.write
+        write(effect.event, **effect.fields)
 
 
 # These go to the aggregate they belong to, not to all that accept them.
--- a/shallotwharf/core/effects.py
+++ b/shallotwharf/core/effects.py
@@ -79,14 +79,23 @@
 
 
 class Report(Effect):
-    """Write one line of key=value pairs to the log."""
+    """Write one line of key=value pairs to the log.
 
-    __slots__ = ('event', 'fields')
+    Attributes:
+        event: name of the event.
+        fields: what decided it, and the outcome.
+        is_call: whether it is about a single call; such lines are left out
+            beyond a rate.
+    """
+
+    __slots__ = ('event', 'fields', 'is_call')
 
     def __init__(
         self,
         event: str,
         fields: abc.Mapping[str, object],
+        is_call: bool = False,
     ) -> None:
         self.event = event
         self.fields = fields
+        self.is_call = is_call
--- a/shallotwharf/core/logs.py
+++ b/shallotwharf/core/logs.py
@@ -1,28 +1,139 @@
-"""Log lines of key=value pairs, one line an event."""
+"""Log lines of key=value pairs, one line an event, on standard output.
 
+Writing never blocks and its volume is bounded: lines that nobody reads in
+time are dropped and counted, and so are lines about single calls beyond a
+rate.
+"""
+
+import collections
+import os
+import select
 import sys
+import typing
 
 import logbook
 
+from shallotwharf.core import clock
+
 _FORMAT = (
     'time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} '
     'level={record.level_name} {record.message}'
 )
+# A pipe that is ready takes this much without blocking (POSIX, PIPE_BUF).
+_CHUNK_BYTES: typing.Final = 4096
+# Lines that wait for a slow reader; some seconds of a busy process.
+BUFFER_BYTES: typing.Final = 262_144
+# Lines about single calls; each has some 200 bytes.
+CALL_LINES_PER_SECOND: typing.Final = 50
+CALL_LINES_BURST: typing.Final = 200
+# A value longer than this is cut.
+MAX_VALUE_LENGTH: typing.Final = 300
+
 _logger = logbook.Logger('shallotwharf')
 
 
+class LineWriter:
+    """Writes lines to a descriptor as far as that does not block.
+
+    Attributes:
+        dropped: lines that found no room since the last report of them.
+    """
+
+    __slots__ = ('dropped', '_descriptor', '_poll', '_waiting', '_size')
+
+    def __init__(self, descriptor: int) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._size = 0
+
+    def write(self, line: str) -> None:
+        """Write a line, or keep it for later, or drop it."""
+        encoded = f'{line}\n'.encode('utf-8', 'replace')
+        if self.dropped and self._size < BUFFER_BYTES // 2:
+            self._keep(f'event=log_dropped lines={self.dropped}\n'.encode())
+            self.dropped = 0
+        if self._size + len(encoded) > BUFFER_BYTES:
+            self.dropped += 1
+        else:
+            self._keep(encoded)
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what waits until the descriptor would block."""
+        while self._waiting and self._is_ready():
+            chunk = self._waiting[0][:_CHUNK_BYTES]
+            try:
+                written = os.write(self._descriptor, chunk)
+            except OSError:
+                # A full disk or a reader that left: what waits is lost.
+                self.dropped += len(self._waiting)
+                self._waiting.clear()
+                self._size = 0
+                return
+            self._size -= written
+            rest = self._waiting.popleft()[written:]
+            if rest:
+                self._waiting.appendleft(rest)
+
+    def _keep(self, encoded: bytes) -> None:
+        self._waiting.append(encoded)
+        self._size += len(encoded)
+
+    def _is_ready(self) -> bool:
+        return bool(self._poll.poll(0))
+
+
+class CallLimiter:
+    """Bounds the lines about single calls; counts those left out."""
+
+    __slots__ = ('left_out', '_clock', '_tokens', '_read_at')
+
+    def __init__(self, process_clock: clock.Clock) -> None:
+        self.left_out = 0
+        self._clock = process_clock
+        self._tokens: float = CALL_LINES_BURST
+        self._read_at = process_clock.read()
+
+    def admits(self) -> bool:
+        """Tell whether a line may be written now."""
+        now = self._clock.read()
+        gained = (now - self._read_at) * CALL_LINES_PER_SECOND / clock.SECOND_MS
+        self._read_at = now
+        self._tokens = min(self._tokens + gained, CALL_LINES_BURST)
+        if self._tokens < 1:
+            self.left_out += 1
+            return False
+        self._tokens -= 1
+        return True
+
+
+class _Handler(logbook.Handler):  # type: ignore[misc]
+    """Hands formatted records to a writer."""
+
+    def __init__(self, writer: LineWriter, level: str) -> None:
+        super().__init__(logbook.lookup_level(level))
+        self.formatter = logbook.StringFormatter(_FORMAT)
+        self._writer = writer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record."""
+        self._writer.write(self.format(record))
+
+
+_limiter = CallLimiter(clock.SystemClock())
+
+
 def configure(level: str = 'INFO') -> None:
-    """Send log lines of `level` and above to standard error.
+    """Send log lines of `level` and above to standard output.
 
     Raises:
         LookupError: if the level is not one of logbook's.
     """
     logbook.set_datetime_format('utc')
-    logbook.StreamHandler(
-        sys.stderr,
-        level=logbook.lookup_level(level),
-        format_string=_FORMAT,
-    ).push_application()
+    _Handler(LineWriter(sys.stdout.fileno()), level).push_application()
 
 
 def write(event: str, **fields: object) -> None:
@@ -35,8 +146,18 @@
     _logger.warning(format_pairs(event, fields))
 
 
+def write_call(event: str, **fields: object) -> None:
+    """Log an event of a single call, unless there were too many lately."""
+    if not _limiter.admits():
+        return
+    if _limiter.left_out:
+        write('call_lines_left_out', lines=_limiter.left_out)
+        _limiter.left_out = 0
+    write(event, **fields)
+
+
 def format_pairs(event: str, fields: dict[str, object]) -> str:
-    """Return `event=... key=value ...`; values with spaces are quoted."""
+    """Return `event=... key=value ...`; other than plain values are quoted."""
     pairs = [f'event={event}']
     for name, field in fields.items():
         pairs.append(f'{name}={_format_value(field)}')
@@ -44,7 +165,14 @@
 
 
 def _format_value(field: object) -> str:
-    text = str(field).replace('\n', r'\n').replace('"', "'")
+    text = str(field)[:MAX_VALUE_LENGTH]
+    if not text.isprintable():
+        # Neither a line break nor a control character may forge a line.
+        text = ''.join(
+            sign if sign.isprintable() else rf'\x{ord(sign):02x}'
+            for sign in text
+        )
+    text = text.replace('"', "'")
     if ' ' in text or '=' in text or not text:
         return f'"{text}"'
     return text
--- a/shallotwharf/platform/vocabulary.py
+++ b/shallotwharf/platform/vocabulary.py
@@ -51,13 +51,15 @@
     ) -> calls.Request:
         """Return a request of a caller or of another node."""
         request = headers.read_request(start_line, request_headers, body)
+        label = request_headers.get(_ATTEMPT, '')
         if request.forwarded:
-            return request
+            return request.replace(label=label)
         told = request_headers.get(_DEADLINE, '')
         return request.replace(
             deadline_ms=int(told) if told.isdecimal() else None,
             retried=False,
             key='',
+            label=label,
         )
 
     def mark_origin(self, request_headers: httputil.HTTPHeaders) -> None:
