--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -14,6 +14,11 @@
 
 # A refusal for these reasons would be the same elsewhere.
 FINAL_REASONS: typing.Final = frozenset(('poison_request', REASON_DEADLINE))
+# Refusals for lack of room, each after a wait in a queue.
+FULL_REASONS: typing.Final = frozenset(('slots_full', 'queue_full'))
+# A call for which there is no room is given up after this part of its aim,
+# so that its caller can come back in time.
+HELD_PART: typing.Final = 4
 # A refusal for this reason says that the version does not serve.
 REASON_UNHEALTHY: typing.Final = 'unhealthy'
 
@@ -26,6 +31,7 @@
 DENIED_LIMIT: typing.Final = 'route_limit'
 DENIED_BUDGET: typing.Final = 'budget'
 DENIED_DEADLINE: typing.Final = 'deadline'
+DENIED_HELD: typing.Final = 'held'
 DENIED_RAN_TWICE: typing.Final = 'ran_twice'
 
 # Each hop must fail before the hop above it does, in whole milliseconds.
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -201,6 +201,8 @@
             return const.DENIED_DEEPER
         if ran_twice:
             return const.DENIED_RAN_TWICE
+        if result.reason in const.FULL_REASONS and self._is_held(now):
+            return const.DENIED_HELD
         budget = self._read_pool().budget
         is_free = (
             not result.reached and self._free < budget.limits.free_refusals
@@ -216,6 +218,10 @@
             return const.DENIED_BUDGET
         return ''
 
+    def _is_held(self, now: int) -> bool:
+        aim_ms = self._read_entry().row.aim_ms
+        return bool(aim_ms) and now - self._began_at > aim_ms // const.HELD_PART
+
     def _choose(self, now: int) -> calls.Step:
         known = self._context
         pool = self._read_pool()
