Follow the gossiped load of targets and the return of a node

Cause: a load that came without a new announcement had the generation of the one before and was left out, so that spare slots were those of the start; a node that came back stayed avoided for up to 8 s. Change: an equal generation with another load counts; a new announcement ends the avoidance. Measured: tests that fail without the change.

--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -47,7 +47,13 @@
         self._unreached_ms = 0
 
     def update(self, announcement: membership.Announcement, now: int) -> None:
-        """Take a newer announcement."""
+        """Take a newer announcement, or a newer load of the same one.
+
+        A new announcement is a sign of life of the node.
+        """
+        if announcement.generation > self.announcement.generation:
+            self.avoid_until = 0
+            self._unreached_ms = 0
         self.announcement = announcement
         if now >= self._spare_until:
             self._spare = announcement.spare
@@ -242,7 +248,9 @@
             )
             return True
         previous = target.announcement
-        if announcement.generation <= previous.generation:
+        if announcement.generation < previous.generation:
+            return False
+        if announcement == previous:
             return False
         target.update(announcement, now)
         return _read_place(announcement) != _read_place(previous)
--- /dev/null
+++ b/tests/components/call/test_targets.py
@@ -0,0 +1,33 @@
+"""Guards against targets whose load or return goes unnoticed."""
+
+from shallotwharf.core import calls
+from tests.components.call import build
+
+
+def list_target(made):
+    return made.directory.list_targets('s')[0]
+
+
+def test_load_without_a_new_announcement_counts():
+    made = build.build_caller(build.build_row('a', spare=5))
+    build.announce(made, build.build_row('a', spare=1))
+    assert list_target(made).estimate_spare() == 1
+
+
+def test_node_that_announces_anew_is_chosen_again_at_once():
+    made = build.build_caller(build.build_row('a'))
+    plan = made.plan(calls.Request('POST', '/cut'))
+    plan.start(0)
+    plan.resume(calls.Result(calls.OUTCOME_UNREACHED), 0)
+    assert list_target(made).avoid_until > 0
+    build.announce(made, build.build_row('a', generation=2))
+    assert list_target(made).avoid_until == 0
+
+
+def test_spare_slots_of_an_answer_go_before_older_gossip():
+    made = build.build_caller(build.build_row('a', spare=5))
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    plan.resume(calls.Result('answered', '', 200, spare=2), 10)
+    build.announce(made, build.build_row('a', spare=9))
+    assert list_target(made).estimate_spare() == 2
