Recover sooner after all processes were lost

Change: shorter lease and election timeouts, quicker repeats of a starting node's questions, an immediate exchange with a new data centre.

--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -35,6 +35,8 @@
 # A node without relays renews its subscription at this interval, so that the
 # loss of its control process shows within `SILENCE_MS`.
 DIRECT_RENEW_MS: typing.Final = 500
+# Until it has a version.
+DIRECT_SEARCH_MS: typing.Final = 200
 # A control process that was left is tried again after this time.
 SOURCE_PENALTY_MS: typing.Final = 5000
 
@@ -64,6 +66,8 @@
 # this time, so that a restart of a data centre does not flood control.
 CONTROL_FLOOR_DELAY_MS: typing.Final = 1000
 FLOOR_RETRY_LAST_MS: typing.Final = 2000
+# Without relays only few nodes ask, and calls are refused until they know.
+DIRECT_FLOOR_RETRY_MS: typing.Final = 300
 # After this time without a majority of control or floored relays, the
 # control process of the own data centre decides.
 FLOOR_GRACE_MS: typing.Final = 10_000
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -65,7 +65,12 @@
         """
         self._own = own
         self._fetcher = fetching.Fetcher(const.NODE_HISTORY, for_relay=False)
-        self._floor = floors.ControlFloor((), own.datacentre, random)
+        self._floor = floors.ControlFloor(
+            (),
+            own.datacentre,
+            random,
+            const.DIRECT_FLOOR_RETRY_MS,
+        )
         self._source = source.Source(random)
         self._known_floor: int | None = None
         self._active = version.EMPTY
@@ -204,7 +209,11 @@
     def _subscribe(self, now: int) -> list[effects.Effect]:
         if not self._source.name:
             return []
-        self._renew_at = now + const.DIRECT_RENEW_MS
+        self._renew_at = now + (
+            const.DIRECT_RENEW_MS
+            if self._active.number
+            else const.DIRECT_SEARCH_MS
+        )
         number, digest = self._fetcher.read_base()
         return [
             effects.Send(
@@ -250,4 +259,7 @@
         ]
 
     def _set_timer(self, now: int) -> effects.Effect:
-        return effects.SetTimer(_TICK, now + const.RELAY_TICK_MS)
+        wait_ms = const.RELAY_TICK_MS
+        if not self._active.number:
+            wait_ms = const.DIRECT_SEARCH_MS // 2
+        return effects.SetTimer(_TICK, now + wait_ms)
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -19,6 +19,7 @@
 
     __slots__ = (
         '_random',
+        '_retry_last_ms',
         '_control',
         '_datacentre',
         '_nonce',
@@ -35,8 +36,10 @@
         control: abc.Iterable[messages.ControlProcess],
         datacentre: str,
         random: random_module.Random,
+        retry_last_ms: int = const.FLOOR_RETRY_LAST_MS,
     ) -> None:
         self._random = random
+        self._retry_last_ms = retry_last_ms
         self._control = tuple(control)
         self._datacentre = datacentre
         self._nonce = 0
@@ -67,7 +70,7 @@
             self._begin(now, purpose)
         if now < self._next_at:
             return []
-        self._wait_ms = min(2 * self._wait_ms, const.FLOOR_RETRY_LAST_MS)
+        self._wait_ms = min(2 * self._wait_ms, self._retry_last_ms)
         self._next_at = now + self._random.randint(
             const.BACKOFF_FIRST_MS,
             self._wait_ms,
--- a/shallotwharf/components/membership/const.py
+++ b/shallotwharf/components/membership/const.py
@@ -80,6 +80,8 @@
 FOUND_MEMBERS: typing.Final = 6
 MAX_SEEKERS: typing.Final = 200
 REPORT_PERIOD_MS: typing.Final = 5000
+# While no other data centre is heard of, control is asked for them sooner.
+REPORT_SEARCH_MS: typing.Final = 500
 # Nodes of a data centre whose relays are silent for this long do not count as
 # live at control.
 REPORT_LIFETIME_MS: typing.Final = 60_000
--- a/shallotwharf/components/membership/exchange.py
+++ b/shallotwharf/components/membership/exchange.py
@@ -86,12 +86,17 @@
         self._sent_at: int | None = None
         known_entries.watch(self.note_changes)
 
-    def find(self, members: tuple[messages.Member, ...]) -> None:
-        """Note members of other data centres that control named."""
+    def find(self, members: tuple[messages.Member, ...]) -> bool:
+        """Note members of data centres that control named.
+
+        Returns whether one of the data centres was not known.
+        """
+        known = {*self._found, *self._entries.known.list_datacentres()}
         for member in members:
             named = self._found.get(member.datacentre, ())
             kept = (member.name, *named)[: const.FOUND_MEMBERS]
             self._found[member.datacentre] = tuple(dict.fromkeys(kept))
+        return not known.issuperset(self._found)
 
     def renew(self, now: int, _late_ms: int) -> Effects:
         """Renew the subscriptions that this node is chosen for."""
--- a/shallotwharf/components/membership/membership.py
+++ b/shallotwharf/components/membership/membership.py
@@ -290,11 +290,15 @@
         """Note members that control named; send it the own ones."""
         step: Effects = []
         if message.members:
-            self._exchange.find(message.members)
+            is_new = self._exchange.find(message.members)
             self._syncer.find(message.members)
             step.append(
                 effects.Publish(messages.PeersFound(message.members)),
             )
+            if is_new:
+                step.append(self._entries.alarms.set_timer('exchange', now))
+            if not self._entries.others:
+                step.append(self._entries.alarms.set_timer('join', now))
         if message.wanted:
             step.extend(self._reporter.send_members(sender, now))
         return step
--- a/shallotwharf/components/membership/reporter.py
+++ b/shallotwharf/components/membership/reporter.py
@@ -28,7 +28,10 @@
 
     def report(self, now: int, _late_ms: int) -> Effects:
         """Report if the own node is the first relay."""
-        report_at = now + const.REPORT_PERIOD_MS
+        wait_ms = const.REPORT_PERIOD_MS
+        if self._controls and not self._list_heard(now):
+            wait_ms = const.REPORT_SEARCH_MS
+        report_at = now + wait_ms
         step: Effects = [self._entries.alarms.set_timer('report', report_at)]
         ranked = rendezvous.rank_members(
             const.RELAY_KEY,
@@ -51,8 +54,7 @@
         members: tuple[messages.Member, ...],
     ) -> relays.DatacentreReport:
         own = self._entries.own.state.member.datacentre
-        known = self._entries.known
-        heard = set(known.list_datacentres()) - set(known.list_stale(own, now))
+        heard = {own, *self._list_heard(now)}
         return relays.DatacentreReport(
             own,
             compute_digest(self._entries.live),
@@ -60,6 +62,13 @@
             tuple(sorted(heard)),
         )
 
+    def _list_heard(self, now: int) -> set[str]:
+        """Return the other data centres that are heard of."""
+        own = self._entries.own.state.member.datacentre
+        known = self._entries.known
+        heard = set(known.list_datacentres()) - set(known.list_stale(own, now))
+        return heard - {own}
+
 
 def compute_digest(members: tuple[messages.Member, ...]) -> int:
     """Return a digest of members and their addresses."""
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -2,17 +2,19 @@
 
 import typing
 
-HEARTBEAT_MS: typing.Final = 150
+HEARTBEAT_MS: typing.Final = 120
 # Below the shortest election timeout, so that a leader without a majority
-# stops before another one can be elected. The gap of 100 ms allows for
-# clocks that run up to 10% apart.
-LEASE_MS: typing.Final = 900
-ELECTION_MIN_MS: typing.Final = 1000
-ELECTION_MAX_MS: typing.Final = 2000
+# stops before another one can be elected. The gap allows for clocks that run
+# up to 10% apart.
+LEASE_MS: typing.Final = 600
+ELECTION_MIN_MS: typing.Final = 700
+ELECTION_MAX_MS: typing.Final = 1300
+# A voter that is silent for this long counts as lost.
+LOST_MS: typing.Final = 2000
 # A candidate that did not win asks again sooner: the others may have heard
 # the leader a heartbeat later and refuse at first.
-RETRY_MIN_MS: typing.Final = 200
-RETRY_MAX_MS: typing.Final = 600
+RETRY_MIN_MS: typing.Final = 100
+RETRY_MAX_MS: typing.Final = 400
 
 # How often a process without a configuration asks the others for theirs.
 GREET_MS: typing.Final = 300
--- a/shallotwharf/components/replica/leadership.py
+++ b/shallotwharf/components/replica/leadership.py
@@ -120,7 +120,7 @@
     def is_silent(self, name: str, now: int) -> bool:
         """Tell whether a follower has not answered for a while."""
         return all(
-            now - max(peer.acked_at, self._began_at) >= const.ELECTION_MAX_MS
+            now - max(peer.acked_at, self._began_at) >= const.LOST_MS
             for peer in self._peers.values()
             if peer.member.name == name
         )
