Tidy what the linter found; guard the names on the wire

Cause: linter findings in the new code, and nothing kept the platform's names in the adapter. Change: smaller methods, a layer for the adapter, a test of names.

--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller and its answer: carries out the steps of a plan."""
 
 import asyncio
+import functools
 import types
 import typing
 from collections import abc as collections_abc
@@ -110,7 +111,10 @@
                 admission.host,
                 admission.port,
                 self._end_entered,
-                self._owns_upstream_answer,
+                functools.partial(
+                    self._services.vocabulary.owns_answer,
+                    self._headers,
+                ),
             )
         elif isinstance(admission, calls.Refused):
             self._resume(
@@ -174,15 +178,6 @@
         )
         return True
 
-    def _owns_upstream_answer(
-        self,
-        answer_headers: httputil.HTTPHeaders,
-    ) -> bool:
-        return self._services.vocabulary.owns_answer(
-            self._headers,
-            answer_headers,
-        )
-
     def _end_entered(
         self,
         ended: calls.Result,
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -125,7 +125,7 @@
         self._closing = True
         if self._server is not None:
             self._server.close()
-        closing = []
+        closing: list[asyncio.Future[None]] = []
         for peer in self._peers.values():
             if peer.task is not None:
                 peer.task.cancel()
--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -59,12 +59,6 @@
             idle.close()
         return self._open(outgoing)
 
-    def _is_fresh(self, idle: connection.Connection, now: float) -> bool:
-        limit = self._idle_limit
-        if idle.idle_limit:
-            limit = min(limit, idle.idle_limit - KEEP_ALIVE_MARGIN_SECONDS)
-        return now - idle.idle_since <= limit
-
     def add_idle(self, idle: connection.Connection) -> None:
         """Keep a connection for the next request."""
         idle.idle_since = self._loop.time()
@@ -84,6 +78,12 @@
             idle.close()
         self._idle.clear()
 
+    def _is_fresh(self, idle: connection.Connection, now: float) -> bool:
+        limit = self._idle_limit
+        if idle.idle_limit:
+            limit = min(limit, idle.idle_limit - KEEP_ALIVE_MARGIN_SECONDS)
+        return now - idle.idle_since <= limit
+
     def _open(self, outgoing: connection.Outgoing) -> connection.Connection:
         opened = connection.Connection(self, outgoing)
         task = self._loop.create_task(self._async_connect(opened))
--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -191,9 +191,6 @@
         self._call_count += 1
         return f'{self._id_prefix}-{self._call_count}'
 
-    def _make_budget(self, now: int) -> budget.RetryBudget:
-        return budget.RetryBudget(now, self._limits.divide(self._nodes))
-
     def report(
         self,
         event: str,
@@ -206,3 +203,6 @@
     def count(self, name: str) -> None:
         """Add to a counter."""
         self.outbox.append(effects.Count(name))
+
+    def _make_budget(self, now: int) -> budget.RetryBudget:
+        return budget.RetryBudget(now, self._limits.divide(self._nodes))
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -201,8 +201,6 @@
             return const.DENIED_DEEPER
         if ran_twice:
             return const.DENIED_RAN_TWICE
-        if result.reason in const.FULL_REASONS and self._is_held(now):
-            return const.DENIED_HELD
         budget = self._read_pool().budget
         is_free = (
             not result.reached and self._free < budget.limits.free_refusals
@@ -210,11 +208,22 @@
         self._free += int(is_free)
         if self._attempts - self._free > entry.row.retries:
             return const.DENIED_LIMIT
+        return self._find_shortage(result, now, is_free)
+
+    def _find_shortage(
+        self,
+        result: calls.Result,
+        now: int,
+        is_free: bool,
+    ) -> str:
+        """Return what is lacking for a retry: time or budget."""
+        if result.reason in const.FULL_REASONS and self._is_held(now):
+            return const.DENIED_HELD
         if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
             return const.DENIED_DEADLINE
         # A call that reached no upstream yet adds no arrival to its first one.
         is_first = is_free and not self._arrivals
-        if not is_first and not budget.take(now):
+        if not is_first and not self._read_pool().budget.take(now):
             return const.DENIED_BUDGET
         return ''
 
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -1,6 +1,7 @@
 """Upstreams as their announcements and the own calls show them."""
 
 import random
+import typing
 from collections import abc
 
 from shallotwharf.components.call import const
@@ -160,6 +161,10 @@
     )
 
 
+# A service and the versions of it that are left out.
+_Selection: typing.TypeAlias = tuple[str, frozenset[str]]
+
+
 class Directory:
     """Targets by service and version, nearest data centre first."""
 
@@ -169,7 +174,7 @@
         self._own = own
         self._targets: dict[str, Target] = {}
         self._groups: dict[tuple[str, str], list[Group]] = {}
-        self._any: dict[tuple[str, frozenset[str]], list[Group]] = {}
+        self._any: dict[_Selection, list[Group]] = {}
 
     def find_groups(self, service: str, version: str) -> list[Group]:
         """Return the groups, nearest first; empty if there is none."""
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -209,11 +209,10 @@
     def _subscribe(self, now: int) -> list[effects.Effect]:
         if not self._source.name:
             return []
-        self._renew_at = now + (
-            const.DIRECT_RENEW_MS
-            if self._active.number
-            else const.DIRECT_SEARCH_MS
-        )
+        wait_ms = const.DIRECT_SEARCH_MS
+        if self._active.number:
+            wait_ms = const.DIRECT_RENEW_MS
+        self._renew_at = now + wait_ms
         number, digest = self._fetcher.read_base()
         return [
             effects.Send(
--- a/shallotwharf/components/ledger/answers.py
+++ b/shallotwharf/components/ledger/answers.py
@@ -21,6 +21,22 @@
     return None
 
 
+def check_revision(
+    current: version.Version,
+    command: messages.ApplyRevision,
+) -> core_messages.Message | None:
+    """Return the answer to a revision that may not follow the current one."""
+    revision = current.tables.revision
+    if command.base != revision:
+        return messages.EditConflict(revision, '', '')
+    if command.tables.revision <= revision:
+        return refuse(
+            const.REASON_REVISION,
+            f'revision {command.tables.revision} is not above {revision}',
+        )
+    return check_tables(command.tables)
+
+
 def count(reply: core_messages.Message) -> effects.Effect:
     """Return the effect that counts an answer by its type and reason."""
     reason = getattr(reply, 'reason', '')
--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -26,11 +26,14 @@
 class Ledger(aggregate.Aggregate):
     """Versions and request ids; equal on all processes at equal indices.
 
+    Attributes:
+        orders: accepted revisions, and the latest one as it was written.
+
     Everything depends on the commands alone: times are those that the
     commands carry.
     """
 
-    __slots__ = ('_history', '_book', '_orders', '_applied', '_part_bytes')
+    __slots__ = ('orders', '_history', '_book', '_applied', '_part_bytes')
 
     name = 'ledger'
     handlers: typing.ClassVar[aggregate.Handlers] = types.MappingProxyType(
@@ -46,7 +49,7 @@
         self._part_bytes = part_bytes
         self._history = history.History()
         self._book = requests.RequestBook()
-        self._orders = orders.OrderBook()
+        self.orders = orders.OrderBook()
         self._applied = 0
 
     @property
@@ -63,11 +66,6 @@
         """Wait for the log."""
         return []
 
-    @property
-    def document(self) -> bytes:
-        """Return the latest revision as the operators wrote it."""
-        return self._orders.document
-
     def list_history(self) -> tuple[history.HistoryRow, ...]:
         """Return the latest versions with their authors, latest last."""
         return self._history.list_rows()
@@ -111,7 +109,7 @@
         parts = snapshot.build_parts(
             self._history,
             self._book,
-            self._orders,
+            self.orders,
             self._part_bytes,
         )
         return [
@@ -134,7 +132,7 @@
         state = snapshot.Restored(restored.parts)
         self._history = state.versions
         self._book = state.book
-        self._orders = state.orders
+        self.orders = state.orders
         self._applied = restored.index
         return [self._publish_current()] if self.current.number else []
 
@@ -209,51 +207,25 @@
         tables: version.Tables,
         kind: str,
     ) -> core_messages.Message:
-        number = self.current.number + 1
-        target = version.Version(
-            number,
-            tables,
-            moves.derive_moves(self.current, tables, number),
-            self.current.holders,
-        )
+        target = moves.derive_version(self.current, tables)
         return self._accept(command, kind, target, f'base={command.base}')
 
     def _apply_revision(
         self,
         command: messages.ApplyRevision,
     ) -> core_messages.Message:
-        known = self._orders.find(command.digest)
+        known = self.orders.find(command.digest)
         if known is not None:
             return known
-        reply = self._find_revision_objection(command)
+        reply = answers.check_revision(self.current, command)
         if reply is not None:
             return reply
-        number = self.current.number + 1
-        target = version.Version(
-            number,
-            command.tables,
-            moves.derive_moves(self.current, command.tables, number),
-            self.current.holders,
-        )
+        target = moves.derive_version(self.current, command.tables)
         detail = f'revision={command.tables.revision} base={command.base}'
         accepted = self._accept(command, const.KIND_EDIT, target, detail)
-        self._orders.add(command, accepted)
+        self.orders.add(command, accepted)
         return accepted
 
-    def _find_revision_objection(
-        self,
-        command: messages.ApplyRevision,
-    ) -> core_messages.Message | None:
-        current = self.current.tables.revision
-        if command.base != current:
-            return messages.EditConflict(current, '', '')
-        if command.tables.revision <= current:
-            return answers.refuse(
-                const.REASON_REVISION,
-                f'revision {command.tables.revision} is not above {current}',
-            )
-        return answers.check_tables(command.tables)
-
     def _order_move(self, command: messages.OrderMove) -> core_messages.Message:
         current = self.current
         if all(row.service != command.service for row in current.tables.pools):
--- a/shallotwharf/components/ledger/messages.py
+++ b/shallotwharf/components/ledger/messages.py
@@ -22,7 +22,14 @@
         at: wall time.
     """
 
-    __slots__ = ('request_id', 'operator', 'base', 'tables', 'at')
+    # Slots repeat the names of fields that many messages have.
+    __slots__ = (  # noqa: WPS226
+        'request_id',
+        'operator',
+        'base',
+        'tables',
+        'at',
+    )
 
     def __init__(
         self,
--- a/shallotwharf/components/ledger/moves.py
+++ b/shallotwharf/components/ledger/moves.py
@@ -53,6 +53,20 @@
     return is_open(known) or age_ms < const.ORDER_REPEAT_MS
 
 
+def derive_version(
+    current: version.Version,
+    tables: version.Tables,
+) -> version.Version:
+    """Return the next version, with new tables."""
+    number = current.number + 1
+    return version.Version(
+        number,
+        tables,
+        derive_moves(current, tables, number),
+        current.holders,
+    )
+
+
 def derive_moves(
     current: version.Version,
     tables: version.Tables,
--- a/shallotwharf/components/move/pace.py
+++ b/shallotwharf/components/move/pace.py
@@ -78,9 +78,9 @@
 class PeriodPace(Pace):
     """Steps within a period of seconds.
 
-    The share stays low for almost half of the period, since a version may turn bad
-    late; what is left is enough to step up, to watch the full share and to
-    let the last calls of the old version end.
+    The share stays low for almost half of the period, since a version may
+    turn bad late; what is left is enough to step up, to watch the full share
+    and to let the last calls of the old version end.
     """
 
     __slots__ = ('_begun_at', '_period_ms')
@@ -105,14 +105,12 @@
         position: schedule.Position,
     ) -> tuple[schedule.Step, ...]:
         """Return the steps at fixed parts of the period."""
+        earliest = self._begun_at
+        if position.share:
+            earliest = position.since + const.PERIOD_STEP_MS
         return tuple(
             schedule.Step(
-                max(
-                    self._begun_at + round(part * self._period_ms),
-                    position.since + const.PERIOD_STEP_MS,
-                )
-                if position.share
-                else self._begun_at,
+                max(self._begun_at + round(part * self._period_ms), earliest),
                 share,
             )
             for part, share in _STEPS
--- a/shallotwharf/roles/control/operations.py
+++ b/shallotwharf/roles/control/operations.py
@@ -85,7 +85,7 @@
 
     def read_document(self) -> bytes:
         """Return the latest revision as it was written; empty if none."""
-        return self._ledger.document
+        return self._ledger.orders.document
 
     def list_moves(self, service: str) -> tuple[version.Move, ...]:
         """Return the moves of the pools of a service."""
--- a/tests/components/ledger/test_revisions.py
+++ b/tests/components/ledger/test_revisions.py
@@ -56,7 +56,7 @@
         log.restore()
     assert log.commit(build_order(3, 0)) == first
     assert log.ledger.current.tables.revision == 9
-    assert log.ledger.document == b'latest'
+    assert log.ledger.orders.document == b'latest'
 
 
 def test_one_of_two_orders_with_an_equal_number_wins():
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,26 @@
+"""Guards against names of the platform that spread beyond its adapter."""
+
+import pathlib
+import re
+
+import shallotwharf
+
+ROOT = pathlib.Path(shallotwharf.__file__).parent
+# Headers, fields and words that only the platform uses.
+WIRE = re.compile(
+    r"""['"](Attempt-Id|Deadline-Ms|Target-Instance|Response-Signature|"""
+    r"""Not-Executed|Caller-Service|Server-Load|Instance-Id|coldRemainingS|"""
+    r"""heartbeatAddr|baseVersion|weightedServices|pathPrefix|routeType|"""
+    r"""maxAttempts|timeoutS|aimS|toVersion|periodS|listeners|clusters|"""
+    r"""rolled_back|non_idempotent)['"]"""
+)
+
+
+def test_only_the_adapter_knows_the_names_on_the_wire():
+    found = {
+        f'{path.relative_to(ROOT)}: {match.group()}'
+        for path in ROOT.rglob('*.py')
+        for match in WIRE.finditer(path.read_text())
+        if path.relative_to(ROOT).parts[0] != 'platform'
+    }
+    assert not found
