Let ready mean served, and stop the dev mode without a traceback

Cause: the dev mode logged ready 2 s before its nodes had a version, and a graceful stop closed the curl client of a sample twice and ended with status 1. Change: ready waits for the nodes; a sample that drained has nothing left to close. Measured: a process test that fails without either change.

--- a/shallotwharf/roles/dev.py
+++ b/shallotwharf/roles/dev.py
@@ -46,6 +46,8 @@
         for upstream in self._samples:
             await upstream.async_start()
         await self._async_apply()
+        while not all(node.is_able() for node in self._nodes):
+            await gen.sleep(_RETRY_SECONDS)
         logs.write(
             'ready',
             calls=f'http://{self._settings.nodes[0].host}:'
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -74,6 +74,10 @@
             calls=f'{self._settings.host}:{self._settings.call_port}',
         )
 
+    def is_able(self) -> bool:
+        """Tell whether calls are served."""
+        return self._aggregates.caller.is_able(self._frame.clock.read())
+
     async def async_stop(self) -> None:
         """Refuse new work, finish what runs, then leave the members."""
         own = self._frame.name
--- a/shallotwharf/roles/sample.py
+++ b/shallotwharf/roles/sample.py
@@ -97,12 +97,14 @@
         '_client',
         '_announcing',
         '_tasks',
+        '_is_stopped',
     )
 
     def __init__(self, settings: SampleSettings) -> None:
         self.port = settings.port
         self.served = 0
         self.running = 0
+        self._is_stopped = False
         self._settings = settings
         self._instance = uuid.uuid4().hex
         self._server = httpserver.HTTPServer(self._receive)
@@ -147,9 +149,12 @@
         await self.async_stop()
 
     async def async_stop(self) -> None:
-        """Stop at once."""
+        """Stop at once; nothing is left to do after a drain."""
         if self._announcing is not None:
             self._announcing.cancel()
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self._server.stop()
         await self._server.close_all_connections()
         self._client.close()
--- /dev/null
+++ b/tests/processes/test_dev.py
@@ -0,0 +1,56 @@
+"""Guards the first five minutes: a call right after `ready`, a clean stop."""
+
+import json
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import urllib.request
+
+from measurements import site as processes
+
+EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples' / 'dev'
+
+
+def write_settings(folder):
+    """Copy the example with ports and a data folder of its own."""
+    for name in ('routes.json', 'pools.json'):
+        (folder / name).write_text((EXAMPLE / name).read_text())
+    text = (EXAMPLE / 'settings.json').read_text()
+    used = sorted(set(re.findall(r'\b71\d\d\b', text)))
+    ports = dict(zip(used, processes.find_ports(len(used)), strict=True))
+    text = re.sub(r'\b71\d\d\b', lambda old: str(ports[old.group()]), text)
+    document = json.loads(text)
+    document['control']['data_folder'] = str(folder / 'data')
+    (folder / 'settings.json').write_text(json.dumps(document))
+    return folder / 'settings.json'
+
+
+def test_ready_means_that_a_call_is_served_and_sigterm_ends_well(tmp_path):
+    started = subprocess.Popen(
+        [
+            sys.executable,
+            '-m',
+            'shallotwharf',
+            'dev',
+            '--settings',
+            str(write_settings(tmp_path)),
+        ],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    try:
+        for line in started.stdout:
+            if 'event=ready' in line:
+                break
+        address = re.search(r'calls="?(http://[^\s"]+)', line)[1]
+        with urllib.request.urlopen(f'{address}menu', timeout=5) as answer:
+            assert answer.status == 200
+        started.send_signal(signal.SIGTERM)
+        rest = started.stdout.read()
+        assert started.wait(20) == 0, rest
+        assert 'Traceback' not in rest
+    finally:
+        started.kill()
