--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -17,6 +17,8 @@
 )
 from shallotwharf.core import calls, clock
 
+_SECOND_US: typing.Final = 1_000_000
+
 
 class Exchange:
     """A request from its last byte to the end of its answer."""
@@ -35,6 +37,8 @@
         '_instance',
         '_timer',
         '_guarded',
+        '_is_forwarded',
+        '_began_at',
         '_open',
     )
 
@@ -63,6 +67,8 @@
         self._instance = ''
         self._timer: asyncio.TimerHandle | None = None
         self._guarded = False
+        self._is_forwarded = bool(self._request.forwarded)
+        self._began_at = shared.loop.time()
         self._open = True
 
     def start(self) -> None:
@@ -70,7 +76,7 @@
         self._services.active += 1
         headers.strip_hop_headers(self._headers)
         headers.strip_own_headers(self._headers)
-        if not self._is_forwarded():
+        if not self._is_forwarded:
             self._services.vocabulary.mark_origin(self._headers)
         if self._request.body:
             length = str(len(self._request.body))
@@ -256,7 +262,7 @@
     def _respond(self, step: calls.Respond) -> None:
         if self._guarded:
             self._services.guard.finish(self._request, None, step.not_run)
-        if self._is_forwarded():
+        if self._is_forwarded:
             self._write(answers.build_refusal(step, forwarded=True))
             return
         self._write(
@@ -279,14 +285,17 @@
 
     def _write(self, answer: answers.Answer) -> None:
         self._close()
-        if self._is_forwarded():
+        self._record_time()
+        if self._is_forwarded:
             answer.headers[headers.ATTEMPT] = self._request.attempt
             spare = self._services.gate.count_spare(self._services.clock.read())
             answer.headers[headers.SPARE] = str(spare)
         self._responder.respond(answer)
 
-    def _is_forwarded(self) -> bool:
-        return bool(self._request.forwarded)
+    def _record_time(self) -> None:
+        name = 'gate.duration' if self._is_forwarded else 'call.duration'
+        duration = self._services.loop.time() - self._began_at
+        self._services.counters.record_time(name, int(duration * _SECOND_US))
 
     def _set_timer(
         self,
