--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -33,7 +33,7 @@
 MAX_SLOTS: typing.Final = 10_000
 
 # Failures in a row after which the upstream counts as unhealthy.
-FAILURE_LIMIT: typing.Final = 5
+FAILURE_LIMIT: typing.Final = 10
 # An unhealthy upstream gets one trial request after this time, which
 # doubles with each failed trial.
 TRIAL_DELAY_MS: typing.Final = 200
--- a/shallotwharf/platform/__main__.py
+++ b/shallotwharf/platform/__main__.py
@@ -1,32 +1,29 @@
 """Entry point of the processes on the users' platform."""
 
+import importlib
 import os
 import sys
-import types
 import typing
 
 from shallotwharf.core import errors, logs, schema
-from shallotwharf.platform import processes
 
 # Names the file that the platform made from the template of the role.
 _SETTINGS_VARIABLE: typing.Final = 'SHALLOTWHARF_NODE_FILE'
+_LOG_LEVEL: typing.Final = 'INFO'
 _EXIT_INVALID: typing.Final = 2
-_ROLES: typing.Final = types.MappingProxyType(
-    {
-        'control': processes.run_control,
-        'node': processes.run_node,
-    },
-)
+# Modules of this package; only that of the role is imported, since memory is
+# counted from the start.
+_ROLES: typing.Final = ('control', 'node')
 
 
 def main(arguments: list[str]) -> int:
     """Run a role; return the exit status."""
-    run = _ROLES.get(arguments[0]) if len(arguments) == 1 else None
-    if run is None:
+    if len(arguments) != 1 or arguments[0] not in _ROLES:
         sys.stderr.write(f'usage: shallotwharf.platform {"|".join(_ROLES)}\n')
         return _EXIT_INVALID
+    role = importlib.import_module(f'shallotwharf.platform.{arguments[0]}')
     try:
-        run(os.environ.get(_SETTINGS_VARIABLE, ''))
+        role.run(os.environ.get(_SETTINGS_VARIABLE, ''), _LOG_LEVEL)
     except (errors.ShallotwharfError, ExceptionGroup) as error:
         logs.configure()
         for line in schema.format_errors(error):
--- /dev/null
+++ b/shallotwharf/platform/control.py
@@ -0,0 +1,23 @@
+"""A control process with the platform's front end."""
+
+from shallotwharf.platform import operators, settings
+from shallotwharf.roles import process
+from shallotwharf.roles.control import seeded as control_process
+
+
+def run(path: str, log_level: str) -> None:
+    """Run a control process until it is told to stop.
+
+    Raises:
+        SettingsError: if the settings file cannot be read.
+        ExceptionGroup: of `SettingsError`, one for each fault.
+    """
+    found = settings.read_control(path)
+    address = (found.place.host, found.place.admin_port)
+    process.run(
+        lambda: control_process.SeededControlProcess(
+            found,
+            operators.OperatorsFrontEnd(address),
+        ),
+        log_level,
+    )
--- /dev/null
+++ b/shallotwharf/platform/node.py
@@ -0,0 +1,23 @@
+"""A node with the platform's front end and headers."""
+
+from shallotwharf.platform import settings, upstreams, vocabulary
+from shallotwharf.roles import process
+from shallotwharf.roles.node import seeded as node_process
+
+
+def run(path: str, log_level: str) -> None:
+    """Run a node until it is told to stop.
+
+    Raises:
+        SettingsError: if the settings file cannot be read.
+        ExceptionGroup: of `SettingsError`, one for each fault.
+    """
+    found, ports = settings.read_node(path)
+    process.run(
+        lambda: node_process.SeededNodeProcess(
+            found,
+            upstreams.UpstreamsFrontEnd(ports),
+            vocabulary.PlatformVocabulary(ports.service),
+        ),
+        log_level,
+    )
--- a/shallotwharf/roles/dev.py
+++ b/shallotwharf/roles/dev.py
@@ -46,7 +46,7 @@
         for upstream in self._samples:
             await upstream.async_start()
         await self._async_apply()
-        while not all(node.is_able() for node in self._nodes):
+        while not all(started.is_able() for started in self._nodes):
             await gen.sleep(_RETRY_SECONDS)
         logs.write(
             'ready',
--- /dev/null
+++ b/tests/platform/test_main.py
@@ -0,0 +1,48 @@
+"""Guards against a start without a clear reason why it failed."""
+
+import os
+
+import pytest
+
+from shallotwharf.platform import __main__ as entry
+from shallotwharf.platform import settings
+
+
+@pytest.mark.parametrize('arguments', [[], ['other'], ['node', 'control']])
+def test_unknown_role_is_refused(arguments):
+    assert entry.main(arguments) == 2
+
+
+@pytest.mark.parametrize('role', ['node', 'control'])
+@pytest.mark.parametrize('text', ['', '{', '{}', '{"host": 1}'])
+def test_unusable_settings_are_refused(role, text, tmp_path, monkeypatch):
+    path = tmp_path / 'settings.json'
+    path.write_text(text)
+    monkeypatch.setitem(os.environ, 'SHALLOTWHARF_NODE_FILE', str(path))
+    assert entry.main([role]) == 2
+
+
+NODE = """{
+  "label": "sidecar-1", "host": "10.1.0.38", "datacentre": "plz-a",
+  "region": "west", "callers": "10.1.0.38:8147", "nodes": "10.1.0.38:8146",
+  "readiness": "10.1.0.38:8141", "reports": "10.1.0.38:8144",
+  "ports": [7380, 7395], "seeds": ["10.1.0.41:8144", "10.2.0.42:8144"],
+  "upstream": "10.1.0.38:8145", "service": "svc", "retry_ratio": 0.2,
+  "retry_extra": 64, "retry_window_s": 10, "stop_s": 6
+}"""
+
+
+def test_settings_name_where_each_port_is(tmp_path):
+    path = tmp_path / 'settings.json'
+    path.write_text(NODE)
+    node, ports = settings.read_node(str(path))
+    assert (node.caller_port, node.call_port) == (8147, 8146)
+    assert (node.place.link_port, node.place.datacentre) == (7380, 'plz-a')
+    assert [seed.host for seed in node.seeds] == ['10.1.0.41', '10.2.0.42']
+    assert node.leave_ms < node.stop_ms < 6000
+    assert ports.upstream == ('10.1.0.38', 8145)
+    # All nodes together stay below the bounds of the platform.
+    window_s = 10
+    retries = node.retries
+    spent = retries.per_second * window_s + retries.cap
+    assert retries.per_call < 0.2 and spent <= 64 and retries.is_shared
