Repeat idempotent calls that an upstream failed

Change: where the limits say so, such a call is sent once more within route limit, budget and deadline; otherwise its answer is passed on.

--- a/shallotwharf/components/call/budget.py
+++ b/shallotwharf/components/call/budget.py
@@ -15,6 +15,8 @@
             together; each node then takes its part.
         free_refusals: attempts of a call that may be refused on the way
             to an upstream without counting as retries.
+        repeats_errors: whether an idempotent call is sent again after an
+            upstream answered that it failed.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         'cap',
         'is_shared',
         'free_refusals',
+        'repeats_errors',
     )
 
     def __init__(
@@ -32,12 +35,14 @@
         cap: float = const.BUDGET_CAP,
         is_shared: bool = False,
         free_refusals: int = 0,
+        repeats_errors: bool = False,
     ) -> None:
         self.per_call = per_call
         self.per_second = per_second
         self.cap = cap
         self.is_shared = is_shared
         self.free_refusals = free_refusals
+        self.repeats_errors = repeats_errors
 
     def divide(self, nodes: int) -> 'Limits':
         """Return the part of one node."""
@@ -49,6 +54,7 @@
             self.per_second / parts,
             max(self.cap / parts, 1),
             free_refusals=self.free_refusals,
+            repeats_errors=self.repeats_errors,
         )
 
 
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -114,11 +114,9 @@
         self._arrivals += int(result.reached)
         if not rule.not_run:
             self._may_have_run = True
-        if not rule.status:
-            self._context.sizes.note(entry.row.name, result.size)
-            self._report_answer(result, now, target)
-            return calls.Relay()
         self._tried.add(target.announcement.node.name)
+        if not rule.status:
+            return self._end_answered(result, now, target)
         reason = result.reason or result.outcome
         if not rule.retry or reason in const.FINAL_REASONS:
             self._report('call_ended', now, target, reason)
@@ -303,6 +301,27 @@
             self._is_retry(),
         )
 
+    def _end_answered(
+        self,
+        result: calls.Result,
+        now: int,
+        target: targets.Target,
+    ) -> calls.Step:
+        """Pass an answer on, or try again after one that tells a failure."""
+        row = self._read_entry().row
+        self._context.sizes.note(row.name, result.size)
+        self._report_answer(result, now, target)
+        limits = self._read_pool().budget.limits
+        fails = result.status >= const.STATUS_SERVER_ERROR
+        if not (fails and row.idempotent and limits.repeats_errors):
+            return calls.Relay()
+        # Another run takes about as long as this one did.
+        in_time = now - self._sent_at < self._deadline_at - now
+        if not in_time or self._find_denial(result, now, ran_twice=False):
+            return calls.Relay()
+        self._context.count(f'{const.COUNTER_RETRIED}status_{result.status}')
+        return self._choose(now)
+
     def _report_answer(
         self,
         result: calls.Result,
--- a/shallotwharf/platform/settings.py
+++ b/shallotwharf/platform/settings.py
@@ -172,4 +172,5 @@
         extra / 2,
         is_shared=True,
         free_refusals=_FREE_REFUSALS,
+        repeats_errors=True,
     )
--- a/tests/components/call/test_budget.py
+++ b/tests/components/call/test_budget.py
@@ -70,3 +70,31 @@
     given_up = plan.resume(full, 101)
     assert isinstance(given_up, calls.Respond) and given_up.not_run
     assert given_up.retry_after_ms == 400 // 3
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'at', 'is_sent_again'),
+    [
+        ('/', 500, 100, True),
+        ('/', 200, 100, False),
+        ('/', 404, 100, False),
+        # No time for another run.
+        ('/', 500, 900, False),
+        # Not idempotent.
+        ('/cut', 500, 100, False),
+    ],
+)
+def test_failure_is_repeated_only_where_that_helps_and_does_no_harm(
+    path, status, at, is_sent_again
+):
+    made = build.build_caller(*(build.build_row(name) for name in 'abc'))
+    limits = budget.Limits(1, 9, 9, repeats_errors=True)
+    for entry in made._index.pools.values():
+        entry.budget = budget.RetryBudget(0, limits)
+    method = 'POST' if path == '/cut' else 'GET'
+    plan = made.plan(calls.Request(method, path))
+    plan.start(0)
+    first = plan._target
+    step = plan.resume(calls.Result('answered', '', status), at)
+    assert isinstance(step, calls.Forward) == is_sent_again
+    assert plan._target is not first
