--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -1,5 +1,6 @@
 """HTTP server for operators, scrapers and the platform."""
 
+import asyncio
 import json
 import typing
 from collections import abc
@@ -9,6 +10,7 @@
 from shallotwharf.core import errors, logs, records, schema
 
 MAX_BODY_BYTES: typing.Final = 8 * 1024 * 1024
+_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.3
 _JSON_TYPE: typing.Final = 'application/json'
 _TEXT_TYPE: typing.Final = 'text/plain; version=0.0.4'
 _HTTP_BAD_REQUEST: typing.Final = 400
@@ -183,6 +185,16 @@
     return server
 
 
+async def async_close(server: httpserver.HTTPServer) -> None:
+    """Stop, and wait a moment for the answers that are being written.
+
+    An order that waits for an election must not hold up the end of a process.
+    """
+    server.stop()
+    closing = asyncio.ensure_future(server.close_all_connections())
+    await asyncio.wait((closing,), timeout=_CLOSE_TIMEOUT_SECONDS)
+
+
 def _bind(server: httpserver.HTTPServer, address: tuple[str, int]) -> None:
     host, port = address
     try:
--- a/shallotwharf/platform/operators.py
+++ b/shallotwharf/platform/operators.py
@@ -183,8 +183,7 @@
     async def async_close(self) -> None:
         """Stop and wait for the answers that are being written."""
         if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+            await admin.async_close(self._server)
 
 
 def _read_move(body: bytes, wall_now: int) -> ledger.OrderMove:
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -115,8 +115,7 @@
     async def async_close(self) -> None:
         """Stop and wait for the answers that are being written."""
         for server in self._servers:
-            server.stop()
-            await server.close_all_connections()
+            await admin.async_close(server)
 
 
 def read_report(
