--- a/shallotwharf/components/ledger/messages.py
+++ b/shallotwharf/components/ledger/messages.py
@@ -23,12 +23,12 @@
     """
 
     # Slots repeat the names of fields that many messages have.
-    __slots__ = (  # noqa: WPS226
+    __slots__ = (
         'request_id',
         'operator',
         'base',
         'tables',
-        'at',
+        'at',  # noqa: WPS226
     )
 
     def __init__(
