End calls whose answer the upstream did not prove

Cause: a test over sockets shows that the gate did not know that end of an attempt: the error was swallowed by the connection's reader and the caller was never answered. Change: the end counts as a failure of the upstream.

--- a/shallotwharf/components/upstream/evidence.py
+++ b/shallotwharf/components/upstream/evidence.py
@@ -51,7 +51,7 @@
         self.health.note_success(attempt, now)
 
     def end_late(self, attempt: str, now: int) -> None:
-        """Note that no answer came in time."""
+        """Note that no answer came in time, or none that counts."""
         self.health.note_failure(attempt, now)
 
     def end_unreached(self, attempt: str, now: int) -> None:
@@ -80,6 +80,8 @@
         calls.OUTCOME_CLOSED: 'end_closed',
         calls.OUTCOME_UNREACHED: 'end_unreached',
         calls.OUTCOME_LATE: 'end_late',
+        # An answer that must not be passed on.
+        calls.OUTCOME_CROSSED: 'end_late',
         calls.OUTCOME_CANCELLED: 'end_abandoned',
         # It was admitted, but too late to be sent.
         calls.OUTCOME_REFUSED: 'end_abandoned',
