Do not suspect requests that complete all the time

Cause: callers on the platform send identical look-ups. Change: a digest that the own upstream completed is not suspected.

--- a/shallotwharf/components/poison/poison.py
+++ b/shallotwharf/components/poison/poison.py
@@ -47,7 +47,14 @@
         messages.CrashSeen: 'accept_crash',
     }
 
-    __slots__ = ('_own_name', '_run', '_suspects', '_seen', '_ticking')
+    __slots__ = (
+        '_own_name',
+        '_run',
+        '_suspects',
+        '_completed',
+        '_seen',
+        '_ticking',
+    )
 
     def __init__(self, own_name: str, run: int) -> None:
         self._own_name = own_name
@@ -56,6 +63,10 @@
         self._suspects: collections.OrderedDict[bytes, _Suspect] = (
             collections.OrderedDict()
         )
+        # Digests that the own upstream completed, the latest one last.
+        self._completed: collections.OrderedDict[bytes, None] = (
+            collections.OrderedDict()
+        )
         # Number of the last own crash that was spread.
         self._seen = 0
         self._ticking = False
@@ -76,11 +87,16 @@
         )
 
     def clear(self, digest: bytes) -> None:
-        """Forget a digest, since the own upstream completed such a request.
+        """Note a digest that the own upstream completed.
 
-        Only digests that are not refused yet are cleared: of those that are,
-        no request reaches an upstream any more.
+        It is not suspected again while it is remembered: the bad request
+        never completes. Only digests that are not refused yet are cleared: of
+        those that are, no request reaches an upstream any more.
         """
+        self._completed[digest] = None
+        self._completed.move_to_end(digest)
+        if len(self._completed) > const.MAX_DIGESTS:
+            self._completed.popitem(last=False)
         suspect = self._suspects.get(digest)
         if suspect is not None and not suspect.refused:
             self._suspects.pop(digest)
@@ -135,6 +151,8 @@
         ]
 
     def _note(self, digest: bytes, node: str, now: int) -> Effects:
+        if digest in self._completed:
+            return []
         suspect = self._suspects.get(digest)
         if suspect is None or suspect.expires_at <= now:
             suspect = _Suspect()
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -188,7 +188,7 @@
             self._queue.remove(attempt)
             return
         answered = result.outcome == calls.OUTCOME_ANSWERED
-        if answered and not self._poison.is_empty():
+        if answered:
             digest = self._evidence.running.compute_digest(attempt)
             self._poison.clear(digest)
         self.outbox.extend(self._evidence.end(attempt, result.outcome, now))
--- a/tests/components/poison/test_poison.py
+++ b/tests/components/poison/test_poison.py
@@ -93,3 +93,13 @@
         ),
         3000,
     )
+
+
+def test_request_that_completed_is_not_suspected_for_a_lost_answer():
+    """Look-ups without parameters are alike and run beside each crash."""
+    poisons = poison.PoisonList('x', 1)
+    poisons.clear(DIGESTS[0])
+    deliver(poisons, 'y', 1, DIGESTS[:2])
+    deliver(poisons, 'z', 1, DIGESTS[:2])
+    assert not poisons.is_poison(DIGESTS[0], 1)
+    assert poisons.is_poison(DIGESTS[1], 1)
