--- a/shallotwharf/components/call/caller.py
+++ b/shallotwharf/components/call/caller.py
@@ -22,6 +22,8 @@
 from shallotwharf.components.tables import version
 from shallotwharf.core import callports, calls, direct, effects
 
+CountSpare: typing.TypeAlias = collections_abc.Callable[[int], int]
+
 
 class Caller(direct.DirectAggregate, callports.Conductor, context.Context):
     """Makes the plan of each call."""
@@ -40,6 +42,7 @@
         '_limits',
         '_nodes',
         '_applied_at',
+        '_count_own_spare',
     )
 
     name = 'call'
@@ -56,6 +59,7 @@
         source: random.Random,
         observer: callports.Observer,
         limits: budget.Limits | None = None,
+        count_own_spare: CountSpare | None = None,
     ) -> None:
         """Create the caller of a node that has no version yet.
 
@@ -65,6 +69,8 @@
             source: of random choices.
             observer: gets the result of each attempt.
             limits: of retries.
+            count_own_spare: returns the free slots of the own gate, which
+                is exact where an announcement is late.
         """
         super().__init__()
         self.own_node = node.name
@@ -79,6 +85,7 @@
         self._index = index.RouteIndex(version.EMPTY, {})
         self._limits = limits or budget.Limits()
         self._nodes = 1
+        self._count_own_spare = count_own_spare
         self._applied_at: int | None = None
 
     def start(self, now: int) -> list[effects.Effect]:
@@ -167,6 +174,12 @@
         """Return the route of a request in the current version."""
         return self._index.find(method, path, host)
 
+    def refresh_own(self, now: int) -> None:
+        """Note the spare slots of the upstream beside this node."""
+        own = self.directory.find_target(self.own_node)
+        if own is not None and self._count_own_spare is not None:
+            own.note_spare(self._count_own_spare(now), now)
+
     def has_version(self) -> bool:
         """Tell whether a version was applied."""
         return self._version.number > 0
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -28,6 +28,10 @@
     ) -> index.RouteEntry | None:
         """Return the route of a request in the current version."""
 
+    @abc.abstractmethod
+    def refresh_own(self, now: int) -> None:
+        """Note the spare slots of the upstream beside this node."""
+
     @abc.abstractmethod
     def has_version(self) -> bool:
         """Tell whether a version was applied."""
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -231,6 +231,7 @@
 
     def _choose(self, now: int) -> calls.Step:
         known = self._context
+        known.refresh_own(now)
         pool = self._read_pool()
         version = chooser.choose_version(pool, known.directory, known.random)
         target = None
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -81,7 +81,7 @@
     def estimate_spare(self) -> int:
         """Return the known spare slots less own attempts since then."""
         started = self.in_flight - self._known_in_flight
-        return self._spare - started
+        return min(self._spare - started, self.announcement.slots)
 
 
 class Group:
@@ -176,6 +176,10 @@
         self._groups: dict[tuple[str, str], list[Group]] = {}
         self._any: dict[_Selection, list[Group]] = {}
 
+    def find_target(self, node: str) -> Target | None:
+        """Return the target beside a node."""
+        return self._targets.get(node)
+
     def find_groups(self, service: str, version: str) -> list[Group]:
         """Return the groups, nearest first; empty if there is none."""
         return self._groups.get((service, version), [])
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -115,19 +115,21 @@
         started_at,
     )
     poison_list = poison.PoisonList(settings.name, started_at)
+    node_gate = gate.Gate(
+        member,
+        gate_settings.GateSettings(),
+        refusals.ListedRequests(poison_list),
+        started_at,
+    )
     return api.NodeAggregates(
         caller.Caller(
             member,
             uuid.uuid4().hex[:8],
             frame.random,
             observer.WatchingObserver(move_watcher),
+            count_own_spare=node_gate.count_spare,
         ),
-        gate.Gate(
-            member,
-            gate_settings.GateSettings(),
-            refusals.ListedRequests(poison_list),
-            started_at,
-        ),
+        node_gate,
         subscriber.Subscriber(member, control, frame.random),
         (
             addresses.AddressBook(frame.links),
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -193,18 +193,19 @@
             started_at,
         )
         poison_list = poison.PoisonList(settings.name, started_at)
+        self._gate = gate.Gate(
+            member,
+            gate_settings.GateSettings(),
+            refusals.ListedRequests(poison_list),
+            started_at,
+        )
         self._caller = caller.Caller(
             member,
             uuid.uuid4().hex[:8],
             frame.random,
             observer.WatchingObserver(move_watcher),
             settings.retries,
-        )
-        self._gate = gate.Gate(
-            member,
-            gate_settings.GateSettings(),
-            refusals.ListedRequests(poison_list),
-            started_at,
+            self._gate.count_spare,
         )
         self._subscriber = direct.DirectSubscriber(member, frame.random)
         self._others = (
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -31,3 +31,27 @@
     plan.resume(calls.Result('answered', '', 200, spare=2), 10)
     build.announce(made, build.build_row('a', spare=9))
     assert list_target(made).estimate_spare() == 2
+
+
+def test_own_gate_is_asked_and_goes_before_what_was_announced():
+    spare = 0
+    made = build.build_caller(
+        build.build_row('own', spare=9), build.build_row('b', spare=1)
+    )
+    made._count_own_spare = lambda now: spare
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    assert plan._target.announcement.node.name == 'b'
+    spare = 3
+    again = made.plan(calls.Request('GET', '/'))
+    assert isinstance(again.start(0), calls.Enter)
+    assert again._target.estimate_spare() == 2
+
+
+def test_no_more_slots_are_believed_in_than_there_are():
+    made = build.build_caller(build.build_row('a', spare=10))
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    build.announce(made, build.build_row('a', spare=10, generation=2))
+    plan.resume(calls.Result('answered', '', 200), 1)
+    assert list_target(made).estimate_spare() == 10
