Elect at once after all voters restarted

Change: restarted voters tell each other so; once all have, none can lead, and they campaign in turn without that wait.

--- a/shallotwharf/components/replica/configuration.py
+++ b/shallotwharf/components/replica/configuration.py
@@ -66,6 +66,13 @@
         """Tell whether a voter has a name."""
         return any(voter.name == name for voter in self.voters)
 
+    def has_other_disk(self, name: str, identity: str) -> bool:
+        """Tell whether the voter of a name has another disk."""
+        return any(
+            voter.name == name and voter.identity != identity
+            for voter in self.voters
+        )
+
     def list_members(self) -> tuple[Member, ...]:
         """Return voters and learners."""
         return self.voters + self.learners
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -16,6 +16,14 @@
 RETRY_MIN_MS: typing.Final = 100
 RETRY_MAX_MS: typing.Final = 400
 
+# A restarted process tells the others so at this interval until it hears a
+# leader.
+RESTARTED_MS: typing.Final = 100
+# After all voters restarted they campaign one after the other, by name, so
+# that votes are not split: a vote takes two ways across regions and a sync.
+FRESH_MIN_MS: typing.Final = 10
+FRESH_STEP_MS: typing.Final = 70
+
 # How often a process without a configuration asks the others for theirs.
 GREET_MS: typing.Final = 300
 # An answer older than this no longer counts when a group is founded.
@@ -55,6 +63,7 @@
 TIMER_LEASE: typing.Final = 'lease'
 TIMER_GREET: typing.Final = 'greet'
 TIMER_PROBE: typing.Final = 'probe'
+TIMER_RESTARTED: typing.Final = 'restarted'
 
 ROLE_FOLLOWER: typing.Final = 'follower'
 ROLE_CANDIDATE: typing.Final = 'candidate'
--- a/shallotwharf/components/replica/duties.py
+++ b/shallotwharf/components/replica/duties.py
@@ -57,6 +57,7 @@
         self._kernel.restore()
         self._founding.greet(now)
         self.begin(now)
+        self._elections.restarts.tell(now)
 
     def begin(self, now: int) -> None:
         """Take part in the group; a single voter leads at once."""
@@ -150,6 +151,8 @@
         """Announce a change of leader; return the effects of the step."""
         if membership.is_removed(self._kernel):
             self.step_down(now)
+        if self._kernel.role == const.ROLE_LEADER:
+            self._elections.restarts.note_leader()
         current = messages.LeaderChanged(
             self._kernel.leader,
             self.is_leading(now),
@@ -210,6 +213,9 @@
     def _greet(self, now: int) -> None:
         self._founding.greet(now)
 
+    def _tell_restarted(self, now: int) -> None:
+        self._elections.restarts.tell(now)
+
     def _probe(self, now: int) -> None:
         """Try to write again; `StoreFailed` follows if that fails."""
         if self._kernel.storage_failed:
@@ -225,5 +231,6 @@
         const.TIMER_LEASE: '_check_lease',
         const.TIMER_GREET: '_greet',
         const.TIMER_PROBE: '_probe',
+        const.TIMER_RESTARTED: '_tell_restarted',
     },
 )
--- a/shallotwharf/components/replica/elections.py
+++ b/shallotwharf/components/replica/elections.py
@@ -1,16 +1,26 @@
 """Elections: pre-votes, votes and when they are given."""
 
-from shallotwharf.components.replica import const, kernel, protocol
+from shallotwharf.components.replica import (
+    const,
+    kernel,
+    protocol,
+    restarts,
+)
 from shallotwharf.core import effects
 from shallotwharf.core import messages as core_messages
 
 
 class Elections:
-    """Votes given and received by one replica."""
+    """Votes given and received by one replica.
 
-    __slots__ = ('_kernel', '_votes', '_preliminary')
+    Attributes:
+        restarts: which voters restarted, so that votes need not wait.
+    """
+
+    __slots__ = ('restarts', '_kernel', '_votes', '_preliminary')
 
     def __init__(self, shared: kernel.Kernel) -> None:
+        self.restarts = restarts.Restarts(shared)
         self._kernel = shared
         self._votes: set[str] = set()
         self._preliminary = True
@@ -31,6 +41,14 @@
         """Campaign soon, since nobody can lead yet."""
         self._set_timer(now, const.RETRY_MIN_MS, const.RETRY_MAX_MS)
 
+    def note_restarted(self, sender: str, index: int, now: int) -> None:
+        """Note a voter that restarted; campaign at once if all did."""
+        if self.restarts.note(sender, index) and self.electable:
+            names = [voter.name for voter in self._kernel.members.voters]
+            rank = sorted(names).index(self._kernel.name)
+            wait_ms = const.FRESH_MIN_MS + rank * const.FRESH_STEP_MS
+            self._set_timer(now, wait_ms, wait_ms)
+
     def start_pre_vote(self, now: int) -> bool:
         """Ask the voters; return whether the election is already won."""
         self.reset_timer(now)
@@ -149,6 +167,8 @@
     def _hears_leader(self, now: int) -> bool:
         if self._kernel.role == const.ROLE_LEADER:
             return True
+        if self.restarts.is_complete():
+            return False
         return now - self._kernel.heard_at < const.ELECTION_MIN_MS
 
     def _is_current(self, last_term: int, last_index: int) -> bool:
--- a/shallotwharf/components/replica/protocol.py
+++ b/shallotwharf/components/replica/protocol.py
@@ -46,6 +46,20 @@
         self.handed_over = handed_over
 
 
+@messages.register('replica.restarted')
+class Restarted(messages.Message):
+    """The sender has heard no leader and did not lead since it started.
+
+    Attributes:
+        members_index: index of the latest configuration in its log.
+    """
+
+    __slots__ = ('members_index',)
+
+    def __init__(self, members_index: int) -> None:
+        self.members_index = members_index
+
+
 @messages.register('replica.vote_reply')
 class VoteReply(messages.Message):
     """Answer to `PreVote` and `RequestVote`.
--- a/shallotwharf/components/replica/replica.py
+++ b/shallotwharf/components/replica/replica.py
@@ -63,6 +63,7 @@
             protocol.HandOver: 'take_over',
             protocol.Greet: 'answer_greet',
             protocol.Greeting: 'receive_greeting',
+            protocol.Restarted: 'note_restarted',
         },
     )
 
@@ -247,6 +248,7 @@
             self._kernel.change_term(message.term)
         self._kernel.follow(sender)
         self._kernel.heard_at = now
+        self._elections.restarts.note_leader()
         self._elections.reset_timer(now)
         if isinstance(message, protocol.AppendEntries):
             self._following.receive_entries(message, sender)
@@ -285,6 +287,15 @@
         if self._elections.start_election(now, handed_over=True):
             self._leadership.start(now)
 
+    def note_restarted(
+        self,
+        message: protocol.Restarted,
+        sender: str,
+        now: int,
+    ) -> None:
+        """Note a voter that restarted and heard no leader since."""
+        self._elections.note_restarted(sender, message.members_index, now)
+
     def answer_greet(
         self,
         message: protocol.Greet,
@@ -293,6 +304,9 @@
     ) -> None:
         """Tell a process without a configuration what this one has."""
         self._founding.answer(message, sender, now)
+        if self._kernel.members.has_other_disk(sender, message.identity):
+            # The process of that voter has lost its disk: it does not lead.
+            self._elections.note_restarted(sender, 0, now)
         if self.is_leading(now) and not self._kernel.storage_failed:
             self._membership.receive_greet(
                 configuration.Member(sender, message.identity, message.place),
--- a/tests/components/replica/test_growth.py
+++ b/tests/components/replica/test_growth.py
@@ -73,6 +73,10 @@
         self.kill(name)
         self.folders.pop(name)
 
+    def wipe_dead(self, name):
+        """Lose the disk of a process that does not run."""
+        self.folders.pop(name)
+
     def find_leader(self):
         now = self.cluster.clock.read()
         leading = [
@@ -208,3 +212,45 @@
     assert group.find_leader() is None
     group.cluster.heal()
     group.order(9, 0)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_group_that_restarted_whole_does_not_wait_for_old_leases(seed):
+    group = Group(seed=seed)
+    group.wait_for_voters(*NAMES)
+    # A voter that lacks the latest configuration waits all the same.
+    group.cluster.run_for(500)
+    for name in NAMES:
+        group.kill(name)
+    for name in NAMES:
+        group.start(name)
+    waited = group.cluster.run_until(group.find_leader, 5000, 10)
+    assert waited < const.ELECTION_MIN_MS
+
+
+@pytest.mark.parametrize('wiped', ['c1', 'c2'])
+def test_emptied_process_counts_as_restarted(wiped):
+    group = Group()
+    group.wait_for_voters(*NAMES)
+    for name in NAMES:
+        group.kill(name)
+    group.wipe_dead(wiped)
+    for name in NAMES:
+        group.start(name)
+    waited = group.cluster.run_until(group.find_leader, 5000, 10)
+    assert waited < const.ELECTION_MIN_MS
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_lease_holds_while_one_voter_has_not_restarted(seed):
+    """The leader is cut off; all others restart and could vote at once."""
+    group = Group(seed=seed)
+    group.wait_for_voters(*NAMES)
+    leader = group.find_leader()
+    others = [name for name in NAMES if name != leader]
+    group.cluster.cut([leader], others)
+    for name in others:
+        group.kill(name)
+        group.start(name)
+    # `find_leader` fails if two processes hold a lease.
+    group.cluster.run_until(lambda: group.find_leader() in others, 10_000, 5)
