--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -67,7 +67,7 @@
 CONTROL_FLOOR_DELAY_MS: typing.Final = 1000
 FLOOR_RETRY_LAST_MS: typing.Final = 2000
 # Without relays only few nodes ask, and calls are refused until they know.
-DIRECT_FLOOR_RETRY_MS: typing.Final = 300
+DIRECT_FLOOR_RETRY_MS: typing.Final = 100
 # After this time without a majority of control or floored relays, the
 # control process of the own data centre decides.
 FLOOR_GRACE_MS: typing.Final = 10_000
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -72,7 +72,7 @@
             return []
         self._wait_ms = min(2 * self._wait_ms, self._retry_last_ms)
         self._next_at = now + self._random.randint(
-            const.BACKOFF_FIRST_MS,
+            min(const.BACKOFF_FIRST_MS, self._wait_ms),
             self._wait_ms,
         )
         return [
