--- a/shallotwharf/components/replica/__init__.py
+++ b/shallotwharf/components/replica/__init__.py
@@ -16,8 +16,9 @@
   follower that wrote to its disk since, and that has a majority without it.
 - The state on disk holds the commit index, so that a process that restarts
   alone shows no older version than before (I1).
-- A process does not vote in the first second after its start: it may have
-  answered a leader whose lease counts on that.
+- A process does not vote within the shortest election timeout after its start:
+  it may have answered a leader whose lease counts on that. It need not wait
+  once all voters told that they restarted and heard no leader since.
 
 The group cannot go on by itself when the disks of a majority are lost.
 """
