--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -10,7 +10,7 @@
 from shallotwharf.core import errors, logs, records, schema
 
 MAX_BODY_BYTES: typing.Final = 8 * 1024 * 1024
-_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.3
+_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.1
 _JSON_TYPE: typing.Final = 'application/json'
 _TEXT_TYPE: typing.Final = 'text/plain; version=0.0.4'
 _HTTP_BAD_REQUEST: typing.Final = 400
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -26,7 +26,7 @@
 _PING_SECONDS: typing.Final = 20.0
 _UNACKNOWLEDGED_MS: typing.Final = 3000
 # A stopping process has said what it had to; this is a courtesy.
-_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.2
+_CLOSE_TIMEOUT_SECONDS: typing.Final = 0.1
 _REOPEN_DELAY_SECONDS: typing.Final = 0.2
 
 Deliver: typing.TypeAlias = abc.Callable[[messages.Message, str], None]
