--- a/shallotwharf/components/tables/route.py
+++ b/shallotwharf/components/tables/route.py
@@ -5,7 +5,6 @@
 from shallotwharf.components.tables import const
 from shallotwharf.core import records
 
-
 # Few different sets are in use; each is kept once however often it is decoded.
 _sets: dict[tuple[str, ...], tuple[str, ...]] = {}
 
