Keep one rule for the distance of a control process

Cause: the distance from a node to a control process was computed in two places, and the direct subscriber built the same records twice a roster. Change: ControlProcess ranks its own distance; voters are built once.

--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -98,27 +98,21 @@
         now: int,
     ) -> list[effects.Effect]:
         """Learn who the control processes are."""
-        self._floor.change_control(
-            tuple(
-                messages.ControlProcess(
-                    voter.name,
-                    voter.place.datacentre,
-                    voter.place.region,
-                )
-                for voter in message.roster.list_voters()
-            ),
+        voters = tuple(
+            messages.ControlProcess(
+                voter.name,
+                voter.place.datacentre,
+                voter.place.region,
+            )
+            for voter in message.roster.list_voters()
         )
+        self._floor.change_control(voters)
         ranks = {
-            process.name: source.rank_distance(
+            voter.name: voter.rank_distance(
                 self._own.datacentre,
                 self._own.region,
-                messages.ControlProcess(
-                    process.name,
-                    process.place.datacentre,
-                    process.place.region,
-                ),
             )
-            for process in message.roster.list_voters()
+            for voter in voters
         }
         before = self._source.name
         self._source.change(ranks, now)
--- a/shallotwharf/components/delivery/messages.py
+++ b/shallotwharf/components/delivery/messages.py
@@ -17,6 +17,12 @@
         self.datacentre = datacentre
         self.region = region
 
+    def rank_distance(self, datacentre: str, region: str) -> int:
+        """Return 0 from the same data centre, 1 from the region, else 2."""
+        if self.datacentre == datacentre:
+            return 0
+        return 1 if self.region == region else 2
+
 
 class VersionPart(records.Record):
     """Part `index` of `total` of a difference; entries are spread over parts.
--- a/shallotwharf/components/delivery/source.py
+++ b/shallotwharf/components/delivery/source.py
@@ -84,14 +84,3 @@
                     self._random.random(),
                 ),
             )
-
-
-def rank_distance(
-    datacentre: str,
-    region: str,
-    process: messages.ControlProcess,
-) -> int:
-    """Return 0 for the own data centre, 1 for the own region, else 2."""
-    if process.datacentre == datacentre:
-        return 0
-    return 1 if process.region == region else 2
--- a/shallotwharf/components/delivery/uplink.py
+++ b/shallotwharf/components/delivery/uplink.py
@@ -48,7 +48,8 @@
     ) -> None:
         self._random = random
         self._ranks = {
-            process.name: _rank_distance(own, process) for process in control
+            process.name: process.rank_distance(own.datacentre, own.region)
+            for process in control
         }
         self._known: dict[str, _Known] = {}
         self._feed = ''
@@ -205,12 +206,3 @@
 
     def _rank_randomly(self, name: str) -> tuple[int, float]:
         return self._ranks[name], self._random.random()
-
-
-def _rank_distance(
-    own: member_messages.Member,
-    process: messages.ControlProcess,
-) -> int:
-    if process.datacentre == own.datacentre:
-        return 0
-    return 1 if process.region == own.region else 2
