Let both subscribers put versions in force by one rule

Cause: the subscriber behind relays and the one that control feeds each kept the version in force, the one refused last and the check of its tables. Change: Activation owns them; the subscribers keep what differs, which is whom they ask and tell.

--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -9,6 +9,7 @@
 import typing
 
 from shallotwharf.components.delivery import (
+    activation,
     const,
     fetching,
     floors,
@@ -17,9 +18,8 @@
 )
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.roster import messages as roster
-from shallotwharf.components.tables import document, version
-from shallotwharf.components.tables import messages as tables_messages
-from shallotwharf.core import aggregate, effects, errors, schema
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, effects, errors
 from shallotwharf.core import messages as core_messages
 
 _TICK: typing.Final = 'tick'
@@ -37,8 +37,7 @@
         '_floor',
         '_source',
         '_known_floor',
-        '_active',
-        '_refused',
+        '_activation',
         '_renew_at',
     )
 
@@ -73,14 +72,13 @@
         )
         self._source = source.Source(random)
         self._known_floor: int | None = None
-        self._active = version.EMPTY
-        self._refused = 0
+        self._activation = activation.Activation()
         self._renew_at = 0
 
     @property
     def active(self) -> version.Version:
         """Return the version in force; number 0 if there is none yet."""
-        return self._active
+        return self._activation.active
 
     @property
     def floor(self) -> int | None:
@@ -150,7 +148,7 @@
         now: int,
     ) -> list[effects.Effect]:
         """Note the answer of a control process."""
-        least = max(self._known_floor or 0, self._active.number)
+        least = max(self._known_floor or 0, self.active.number)
         self._source.receive_status(sender, message, least, now)
         return []
 
@@ -204,7 +202,7 @@
         if not self._source.name:
             return []
         wait_ms = const.DIRECT_SEARCH_MS
-        if self._active.number:
+        if self.active.number:
             wait_ms = const.DIRECT_RENEW_MS
         self._renew_at = now + wait_ms
         number, digest = self._fetcher.read_base()
@@ -217,42 +215,16 @@
 
     def _apply(self) -> list[effects.Effect]:
         candidate = self._fetcher.newest
-        number = candidate.number
-        if self._known_floor is None or number < self._known_floor:
+        if not self._activation.may_apply(candidate.number, self._known_floor):
             return []
-        if number <= self._active.number or number == self._refused:
-            return []
-        try:
-            document.check_tables(candidate.tables)
-        except ExceptionGroup as group:
-            self._refused = number
-            reason = '; '.join(schema.format_errors(group))
-            return [
-                effects.Count('delivery.versions_refused'),
-                effects.Report(
-                    'version_refused',
-                    {
-                        'number': number,
-                        'reason': reason[: const.MAX_REASON_LENGTH],
-                    },
-                ),
-            ]
-        self._active = candidate
-        return [
-            effects.Publish(tables_messages.VersionApplied(candidate)),
-            effects.Count('delivery.versions_applied'),
-            effects.Report(
-                'version_applied',
-                {
-                    'number': number,
-                    'revision': candidate.tables.revision,
-                    'source': self._source.name,
-                },
-            ),
-        ]
+        origin = {
+            'revision': candidate.tables.revision,
+            'source': self._source.name,
+        }
+        return self._activation.apply(candidate, origin)
 
     def _set_timer(self, now: int) -> effects.Effect:
         wait_ms = const.RELAY_TICK_MS
-        if not self._active.number:
+        if not self.active.number:
             wait_ms = const.DIRECT_SEARCH_MS // 2
         return effects.SetTimer(_TICK, now + wait_ms)
--- a/shallotwharf/components/delivery/subscriber.py
+++ b/shallotwharf/components/delivery/subscriber.py
@@ -5,6 +5,7 @@
 from collections import abc
 
 from shallotwharf.components.delivery import (
+    activation,
     claims,
     const,
     exchange,
@@ -13,9 +14,9 @@
     messages,
 )
 from shallotwharf.components.membership import messages as member_messages
-from shallotwharf.components.tables import document, version
 from shallotwharf.components.tables import messages as tables_messages
-from shallotwharf.core import aggregate, effects, errors, rendezvous, schema
+from shallotwharf.components.tables import version
+from shallotwharf.core import aggregate, effects, errors, rendezvous
 from shallotwharf.core import messages as core_messages
 
 _TICK: typing.Final = 'tick'
@@ -33,11 +34,9 @@
         '_random',
         '_relays',
         '_fetcher',
-        '_active',
+        '_activation',
         '_floor',
         '_claims',
-        '_refused',
-        '_reason',
         '_incarnation',
         '_sequence',
         '_beat_at',
@@ -74,11 +73,9 @@
             const.NODE_HISTORY,
             for_relay=False,
         )
-        self._active = version.EMPTY
+        self._activation = activation.Activation()
         self._floor = floors.NodeFloor(control, own.datacentre, random)
         self._claims = claims.Claims()
-        self._refused = 0
-        self._reason = ''
         self._incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._sequence = 0
         self._beat_at = 0
@@ -87,7 +84,7 @@
     @property
     def active(self) -> version.Version:
         """Return the version in force; number 0 if there is none yet."""
-        return self._active
+        return self._activation.active
 
     @property
     def floor(self) -> int | None:
@@ -143,7 +140,8 @@
             built = self._fetcher.take(message.part, now)
         except errors.ProtocolError as error:
             return [
-                *self._refuse(message.part.change.number, error),
+                *self._activation.refuse(message.part.change.number, error),
+                *self._make_states(),
                 *self._fetch(now),
             ]
         if built is None:
@@ -203,8 +201,7 @@
         """Tell whether anything is awaited that may have been lost."""
         if self._floor.number is None or self._list_ahead():
             return True
-        number = self._fetcher.newest.number
-        return number not in {self._active.number, self._refused}
+        return not self._activation.has_decided(self._fetcher.newest.number)
 
     def _fetch(self, now: int) -> list[effects.Effect]:
         step = self._fetcher.fetch(self._list_ahead(), now)
@@ -217,7 +214,10 @@
         candidate = self._fetcher.newest
         step = self._apply_empty()
         if self._may_apply(candidate.number):
-            step.extend(self._apply_candidate(candidate, now))
+            step.extend(self._activation.apply(candidate, {}))
+            if self.active is candidate:
+                self._beat_at = now + const.NODE_BEAT_MS // 2
+            step.extend(self._make_states())
         return step
 
     def _apply_empty(self) -> list[effects.Effect]:
@@ -231,53 +231,17 @@
         self._applied_empty = True
         return [effects.Publish(tables_messages.VersionApplied(version.EMPTY))]
 
-    def _apply_candidate(
-        self,
-        candidate: version.Version,
-        now: int,
-    ) -> list[effects.Effect]:
-        try:
-            document.check_tables(candidate.tables)
-        except ExceptionGroup as group:
-            return self._refuse(candidate.number, group)
-        self._active = candidate
-        self._reason = ''
-        return [
-            effects.Publish(tables_messages.VersionApplied(candidate)),
-            effects.Count('delivery.versions_applied'),
-            effects.Report('version_applied', {'number': candidate.number}),
-            *self._tell_relays(now),
-        ]
-
     def _may_apply(self, number: int) -> bool:
-        floor = self._floor.number
-        if floor is None or number < floor:
-            return False
-        if number <= self._active.number or number == self._refused:
-            return False
-        return self._claims.is_held(number)
-
-    def _refuse(
-        self,
-        number: int,
-        error: Exception,
-    ) -> list[effects.Effect]:
-        """Keep the active version and tell the relays why."""
-        self._reason = '; '.join(schema.format_errors(error))
-        self._reason = self._reason[: const.MAX_REASON_LENGTH]
-        if number == self._fetcher.newest.number:
-            self._refused = number
-        return [
-            effects.Count('delivery.versions_refused'),
-            effects.Report(
-                'version_refused',
-                {'number': number, 'reason': self._reason},
-            ),
-            *(self._make_state(relay) for relay in self._relays),
-        ]
+        return self._activation.may_apply(
+            number,
+            self._floor.number,
+        ) and self._claims.is_held(number)
 
     def _tell_relays(self, now: int) -> list[effects.Effect]:
         self._beat_at = now + const.NODE_BEAT_MS // 2
+        return self._make_states()
+
+    def _make_states(self) -> list[effects.Effect]:
         return [self._make_state(relay) for relay in self._relays]
 
     def _make_state(self, relay: str) -> effects.Effect:
@@ -285,8 +249,8 @@
         return effects.Send(
             relay,
             exchange.NodeState(
-                self._active.number,
-                self._reason,
+                self._activation.active.number,
+                self._activation.reason,
                 self._incarnation,
                 self._sequence,
                 self._claims.read_stamp(relay),
