Share one token bucket

Cause: retries, new subscriptions and the log lines of calls each had the same bucket of tokens written out. Change: core.bucket has it; each user keeps its own rate and cap. The log handler declares its slots.

--- a/shallotwharf/components/call/budget.py
+++ b/shallotwharf/components/call/budget.py
@@ -1,7 +1,7 @@
 """Budget of retries."""
 
 from shallotwharf.components.call import const
-from shallotwharf.core import clock, records
+from shallotwharf.core import bucket, records
 
 
 class Limits(records.Record):
@@ -68,29 +68,19 @@
         limits: of this node.
     """
 
-    __slots__ = ('limits', '_tokens', '_read_at')
+    __slots__ = ('limits', '_bucket')
 
     def __init__(self, now: int, limits: Limits | None = None) -> None:
         self.limits = limits or Limits()
-        self._tokens = min(self.limits.per_second, self.limits.cap)
-        self._read_at = now
+        self._bucket = bucket.TokenBucket(
+            min(self.limits.per_second, self.limits.cap),
+            now,
+        )
 
     def note_call(self) -> None:
         """Add the share of a call that is not itself a retry."""
-        self._tokens = min(
-            self._tokens + self.limits.per_call,
-            self.limits.cap,
-        )
+        self._bucket.add(self.limits.per_call, self.limits.cap)
 
     def take(self, now: int) -> bool:
         """Take a token; return False if there is none."""
-        seconds = (now - self._read_at) / clock.SECOND_MS
-        self._read_at = now
-        self._tokens = min(
-            self._tokens + seconds * self.limits.per_second,
-            self.limits.cap,
-        )
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._bucket.take(now, self.limits.per_second, self.limits.cap)
--- a/shallotwharf/components/delivery/subscriptions.py
+++ b/shallotwharf/components/delivery/subscriptions.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from shallotwharf.components.delivery import const, messages, transfer
-from shallotwharf.core import clock, effects
+from shallotwharf.core import bucket, clock, effects
 
 
 class _Subscription:
@@ -20,7 +20,7 @@
 class Admission:
     """Token bucket for new subscriptions."""
 
-    __slots__ = ('_per_second', '_burst', '_tokens', '_filled_at')
+    __slots__ = ('_per_second', '_burst', '_bucket')
 
     def __init__(
         self,
@@ -29,20 +29,13 @@
     ) -> None:
         self._per_second = per_second
         self._burst = burst
-        self._tokens = float(burst)
-        self._filled_at: int | None = None
+        self._bucket = bucket.TokenBucket(burst)
 
     def admit(self, now: int) -> int:
         """Return 0 if admitted, else after how many ms to ask again."""
-        if self._filled_at is not None:
-            elapsed = now - self._filled_at
-            gained = elapsed * self._per_second / clock.SECOND_MS
-            self._tokens = min(self._tokens + gained, self._burst)
-        self._filled_at = now
-        if self._tokens >= 1:
-            self._tokens -= 1
+        if self._bucket.take(now, self._per_second, self._burst):
             return 0
-        missing = 1 - self._tokens
+        missing = 1 - self._bucket.tokens
         return int(missing * clock.SECOND_MS / self._per_second) + 1
 
 
--- a/shallotwharf/core/logs.py
+++ b/shallotwharf/core/logs.py
@@ -13,7 +13,7 @@
 
 import logbook
 
-from shallotwharf.core import clock
+from shallotwharf.core import bucket, clock
 
 _FORMAT = (
     'time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} '
@@ -89,30 +89,32 @@
 class CallLimiter:
     """Bounds the lines about single calls; counts those left out."""
 
-    __slots__ = ('left_out', '_clock', '_tokens', '_read_at')
+    __slots__ = ('left_out', '_clock', '_bucket')
 
     def __init__(self, process_clock: clock.Clock) -> None:
         self.left_out = 0
         self._clock = process_clock
-        self._tokens: float = CALL_LINES_BURST
-        self._read_at = process_clock.read()
+        self._bucket = bucket.TokenBucket(
+            CALL_LINES_BURST,
+            process_clock.read(),
+        )
 
     def admits(self) -> bool:
         """Tell whether a line may be written now."""
-        now = self._clock.read()
-        gained = (now - self._read_at) * CALL_LINES_PER_SECOND / clock.SECOND_MS
-        self._read_at = now
-        self._tokens = min(self._tokens + gained, CALL_LINES_BURST)
-        if self._tokens < 1:
-            self.left_out += 1
-            return False
-        self._tokens -= 1
-        return True
+        admitted = self._bucket.take(
+            self._clock.read(),
+            CALL_LINES_PER_SECOND,
+            CALL_LINES_BURST,
+        )
+        self.left_out += int(not admitted)
+        return admitted
 
 
 class _Handler(logbook.Handler):  # type: ignore[misc]
     """Hands formatted records to a writer."""
 
+    __slots__ = ('_writer', 'formatter')
+
     def __init__(self, writer: LineWriter, level: str) -> None:
         super().__init__(logbook.lookup_level(level))
         self.formatter = logbook.StringFormatter(_FORMAT)
--- a/tests/components/call/test_plan.py
+++ b/tests/components/call/test_plan.py
@@ -47,7 +47,7 @@
     method = 'GET' if path == '/x' else 'POST'
     made = build.build_caller(*(build.build_row(name) for name in 'abcdef'))
     for entry in made._index.pools.values():
-        entry.budget._tokens = 20
+        entry.budget._bucket.tokens = 20
     steps = run_plan(build_plan(path, method, made, retried=retried), outcomes)
     attempts = [step for step in steps if isinstance(step, calls.Forward)]
     used = outcomes[: len(attempts)]
