Serve operators, platform and scrapers by one web server class

Cause: the product's admin server and the front ends of the adapter each built, bound and closed a tornado server; only one of the two ways bounded the wait at the close. Both front ends had a handler of metrics of their own. Change: WebServer owns address, binding and the bounded close; AdminServer adds its table. The metrics of the adapter now name the exposition format in their content type, as those of the product do.

--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -125,32 +125,25 @@
         self.finish(json.dumps(reply.document))
 
 
-class AdminServer:
-    """Serves a table of handlers by method and path."""
+class WebServer:
+    """Serves tornado's rules at one address."""
 
     __slots__ = ('_address', '_server')
 
     def __init__(
         self,
-        host: str,
-        port: int,
-        table: AdminTable,
-        rules: abc.Sequence[typing.Any] = (),
+        address: tuple[str, int],
+        rules: abc.Sequence[typing.Any],
     ) -> None:
         """Create a server; it does not listen yet.
 
         Args:
-            host: IP number.
-            port: port.
-            table: handlers by method and path.
-            rules: tornado's rules for paths that are not in the table.
+            address: IP number and port.
+            rules: tornado's rules.
         """
-        self._address = (host, port)
+        self._address = address
         self._server = httpserver.HTTPServer(
-            web.Application(
-                [*rules, ('.*', _Handler, {'table': table})],
-                log_function=_ignore_request,
-            ),
+            web.Application(list(rules), log_function=_ignore_request),
             max_body_size=MAX_BODY_BYTES,
         )
 
@@ -160,52 +153,65 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        _bind(self._server, self._address)
+        host, port = self._address
+        try:
+            sockets = netutil.bind_sockets(port, host)
+        except OSError as error:
+            raise errors.LinkError(
+                f'cannot listen: {error.strerror}',
+                'admin.listen',
+                f'{host}:{port}',
+            ) from error
+        self._server.add_sockets(sockets)
 
     async def async_close(self) -> None:
-        """Stop and wait for the answers that are being written."""
+        """Stop, and wait a moment for the answers that are being written.
+
+        An order that waits for an election must not hold up the end of a
+        process.
+        """
         self._server.stop()
-        await self._server.close_all_connections()
+        closing = asyncio.ensure_future(self._server.close_all_connections())
+        await asyncio.wait((closing,), timeout=_CLOSE_TIMEOUT_SECONDS)
 
 
-def serve(
-    address: tuple[str, int],
-    rules: abc.Sequence[typing.Any],
-) -> httpserver.HTTPServer:
-    """Serve tornado's rules at an IP number and port.
+class AdminServer(WebServer):
+    """Serves a table of handlers by method and path."""
 
-    Raises:
-        LinkError: if the address cannot be bound.
-    """
-    server = httpserver.HTTPServer(
-        web.Application(list(rules), log_function=_ignore_request),
-        max_body_size=MAX_BODY_BYTES,
-    )
-    _bind(server, address)
-    return server
+    __slots__ = ()
 
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        table: AdminTable,
+        rules: abc.Sequence[typing.Any] = (),
+    ) -> None:
+        """Create a server; it does not listen yet.
+
+        Args:
+            host: IP number.
+            port: port.
+            table: handlers by method and path.
+            rules: tornado's rules for paths that are not in the table.
+        """
+        super().__init__(
+            (host, port),
+            [*rules, ('.*', _Handler, {'table': table})],
+        )
 
-async def async_close(server: httpserver.HTTPServer) -> None:
-    """Stop, and wait a moment for the answers that are being written.
 
-    An order that waits for an election must not hold up the end of a process.
-    """
-    server.stop()
-    closing = asyncio.ensure_future(server.close_all_connections())
-    await asyncio.wait((closing,), timeout=_CLOSE_TIMEOUT_SECONDS)
-
-
-def _bind(server: httpserver.HTTPServer, address: tuple[str, int]) -> None:
-    host, port = address
-    try:
-        sockets = netutil.bind_sockets(port, host)
-    except OSError as error:
-        raise errors.LinkError(
-            f'cannot listen: {error.strerror}',
-            'admin.listen',
-            f'{host}:{port}',
-        ) from error
-    server.add_sockets(sockets)
+class MetricsHandler(web.RequestHandler):
+    """Serves the counters of a process."""
+
+    def initialize(self, render: abc.Callable[[], str]) -> None:
+        """Keep what returns all counters as text."""
+        self._render = render
+
+    def get(self) -> None:
+        """Return all counters as text."""
+        self.set_header('Content-Type', _TEXT_TYPE)
+        self.finish(self._render())
 
 
 def _ignore_request(_handler: web.RequestHandler) -> None:
--- a/shallotwharf/platform/operators.py
+++ b/shallotwharf/platform/operators.py
@@ -4,7 +4,7 @@
 import types
 import typing
 
-from tornado import httpserver, web
+from tornado import web
 
 from shallotwharf.adapters import admin
 from shallotwharf.components.ledger import messages as ledger
@@ -149,15 +149,6 @@
         )
 
 
-class MetricsHandler(_Handler):
-    """Serves the counters."""
-
-    def get(self) -> None:
-        """Return all counters as text."""
-        self.set_header('Content-Type', 'text/plain')
-        self.finish(self._served.render_counters())
-
-
 class OperatorsFrontEnd(control_process.FrontEnd):
     """Serves operators at the address that the platform names."""
 
@@ -165,25 +156,30 @@
 
     def __init__(self, address: tuple[str, int]) -> None:
         self._address = address
-        self._server: httpserver.HTTPServer | None = None
+        self._server: admin.WebServer | None = None
 
     def listen(self, served: operations.Operations) -> None:
         """Accept requests."""
         arguments = {'served': served}
-        self._server = admin.serve(
+        self._server = admin.WebServer(
             self._address,
             [
                 ('/-/config', ConfigHandler, arguments),
                 ('/-/rollouts', RolloutsHandler, arguments),
                 ('/-/rollouts/([^/]+)', RolloutHandler, arguments),
-                ('/metrics', MetricsHandler, arguments),
+                (
+                    '/metrics',
+                    admin.MetricsHandler,
+                    {'render': served.render_counters},
+                ),
             ],
         )
+        self._server.listen()
 
     async def async_close(self) -> None:
         """Stop and wait for the answers that are being written."""
         if self._server is not None:
-            await admin.async_close(self._server)
+            await self._server.async_close()
 
 
 def _read_move(body: bytes, wall_now: int) -> ledger.OrderMove:
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -3,7 +3,7 @@
 import json
 import typing
 
-from tornado import httpserver, web
+from tornado import web
 
 from shallotwharf.adapters import admin
 from shallotwharf.core import callports, logs
@@ -68,19 +68,6 @@
         self.finish('')
 
 
-class MetricsHandler(web.RequestHandler):
-    """Serves the counters."""
-
-    def initialize(self, status: node_process.NodeStatus) -> None:
-        """Keep whom to ask."""
-        self._status = status
-
-    def get(self) -> None:
-        """Return all counters as text."""
-        self.set_header('Content-Type', 'text/plain')
-        self.finish(self._status.render_counters())
-
-
 class UpstreamsFrontEnd(node_process.FrontEnd):
     """Serves the upstream and the platform beside a node."""
 
@@ -88,7 +75,7 @@
 
     def __init__(self, ports: settings.NodePorts) -> None:
         self._ports = ports
-        self._servers: list[httpserver.HTTPServer] = []
+        self._servers: list[admin.WebServer] = []
 
     def listen(
         self,
@@ -98,24 +85,27 @@
         """Accept requests."""
         reports = {'registry': registry, 'ports': self._ports}
         asked = {'status': status}
+        counted = {'render': status.render_counters}
         self._servers = [
-            admin.serve(
+            admin.WebServer(
                 self._ports.reports,
                 [('/-/instances/([^/]+)', InstanceHandler, reports)],
             ),
-            admin.serve(
+            admin.WebServer(
                 self._ports.readiness,
                 [
                     ('/-/readiness', ReadinessHandler, asked),
-                    ('/metrics', MetricsHandler, asked),
+                    ('/metrics', admin.MetricsHandler, counted),
                 ],
             ),
         ]
+        for server in self._servers:
+            server.listen()
 
     async def async_close(self) -> None:
         """Stop and wait for the answers that are being written."""
         for server in self._servers:
-            await admin.async_close(server)
+            await server.async_close()
 
 
 def read_report(
--- a/tests/adapters/test_admin.py
+++ b/tests/adapters/test_admin.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pytest
 from tornado import web
 
 from shallotwharf.adapters import admin
@@ -14,15 +15,29 @@
         await asyncio.sleep(30)
 
 
-def test_close_does_not_wait_for_a_request_that_hangs():
+async def async_hang(_request):
+    await asyncio.sleep(30)
+
+
+def make_web_server(host, port):
+    return admin.WebServer((host, port), [('/', Hanging)])
+
+
+def make_admin_server(host, port):
+    return admin.AdminServer(host, port, {('GET', '/'): async_hang})
+
+
+@pytest.mark.parametrize('make', [make_web_server, make_admin_server])
+def test_close_does_not_wait_for_a_request_that_hangs(make):
     async def async_run():
         port = callnodes.find_port()
-        server = admin.serve((callnodes.HOST, port), [('/', Hanging)])
+        server = make(callnodes.HOST, port)
+        server.listen()
         _, writer = await asyncio.open_connection(callnodes.HOST, port)
         writer.write(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
         await asyncio.sleep(0.1)
         began = time.monotonic()
-        await admin.async_close(server)
+        await server.async_close()
         writer.close()
         return time.monotonic() - began
 
