Refuse documents with infinite times; share the checks of the adapter

Cause: the three readers of the adapter each listed what a document of another shape raises, differently. An infinite time in a configuration or an order of a move was answered 500 in place of 400, as was an order that is not an object or is nested too deeply. Change: platform.checks has the list and the checks once.

--- a/shallotwharf/platform/document.py
+++ b/shallotwharf/platform/document.py
@@ -10,6 +10,7 @@
 from shallotwharf.components.tables import const as tables_const
 from shallotwharf.components.tables import pool, route, version
 from shallotwharf.core import clock, errors
+from shallotwharf.platform import checks
 
 _STEP: typing.Final = 'platform.document'
 _HEX: typing.Final = 16
@@ -18,15 +19,6 @@
 _KINDS: typing.Final = _REPEATABLE | {'non_idempotent'}
 _METHODS: typing.Final = tuple(sorted(tables_const.METHODS))
 
-# What reading a document of another shape raises.
-_FAULTS: typing.Final = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    RecursionError,
-)
-
 _Json: typing.TypeAlias = dict[str, typing.Any]
 
 
@@ -48,7 +40,7 @@
             _compute_digest(found),
             wall_now,
         )
-    except _FAULTS as error:
+    except checks.FAULTS as error:
         raise errors.ProtocolError(
             f'not a configuration: {error!r}',
             _STEP,
@@ -80,7 +72,7 @@
 
 def _read_pool(row: _Json) -> pool.Pool:
     # The configuration names no versions of a service: all of them serve.
-    return pool.Pool(_check_text(row['name']), row['name'], {})
+    return pool.Pool(checks.check_text(row['name']), row['name'], {})
 
 
 def _read_route(
@@ -88,19 +80,19 @@
     rule: _Json,
     pools: abc.Set[str],
 ) -> route.Route:
-    host = _check_text(listener['host'])
+    host = checks.check_text(listener['host'])
     action = rule['action']
     shares = _read_shares(action)
-    _check(set(shares) <= pools, 'unknown service')
+    checks.check(set(shares) <= pools, 'unknown service')
     timeout_ms = _read_ms(action['timeoutS'])
-    _check(0 < timeout_ms <= tables_const.MAX_TIMEOUT_MS, 'timeout')
+    checks.check(0 < timeout_ms <= tables_const.MAX_TIMEOUT_MS, 'timeout')
     attempts = action['maxAttempts']
-    _check(type(attempts) is int and attempts > 0, 'attempts')
-    _check(rule['routeType'] in _KINDS, 'kind')
+    checks.check(type(attempts) is int and attempts > 0, 'attempts')
+    checks.check(rule['routeType'] in _KINDS, 'kind')
     single = len(shares) == 1
     return route.Route(
-        f'{host}/{_check_text(rule["name"])}',
-        _check_text(rule['match']['pathPrefix']),
+        f'{host}/{checks.check_text(rule["name"])}',
+        checks.check_text(rule['match']['pathPrefix']),
         _METHODS,
         next(iter(shares)) if single else '',
         _find_priority(rule['priority']),
@@ -116,16 +108,18 @@
 def _read_shares(action: _Json) -> dict[str, int]:
     parts = action.get('weightedServices')
     if parts is None:
-        return {_check_text(action['service']): 1}
-    shares = {_check_text(part['service']): part['weight'] for part in parts}
-    _check(bool(shares), 'no service')
+        return {checks.check_text(action['service']): 1}
+    shares = {
+        checks.check_text(part['service']): part['weight'] for part in parts
+    }
+    checks.check(bool(shares), 'no service')
     for weight in shares.values():
-        _check(type(weight) is int and weight >= 0, 'weight')
+        checks.check(type(weight) is int and weight >= 0, 'weight')
     return shares
 
 
 def _find_priority(rank: typing.Any) -> str:
-    _check(type(rank) is int and rank >= 0, 'priority')
+    checks.check(type(rank) is int and rank >= 0, 'priority')
     last = len(tables_const.PRIORITIES) - 1
     return tables_const.PRIORITIES[min(rank, last)]
 
@@ -135,19 +129,9 @@
     # The first configuration may name its base as a plain 0.
     if raw == 0 and type(raw) is int:
         return 0
-    return int(_check_text(raw), _HEX)
+    return int(checks.check_text(raw), _HEX)
 
 
 def _read_ms(seconds: typing.Any) -> int:
-    _check(type(seconds) in {int, float}, 'time')
+    checks.check(type(seconds) in {int, float}, 'time')
     return int(round(seconds * clock.SECOND_MS))
-
-
-def _check_text(raw: typing.Any) -> str:
-    _check(isinstance(raw, str) and bool(raw), 'empty name')
-    return str(raw)
-
-
-def _check(holds: bool, detail: str) -> None:
-    if not holds:
-        raise ValueError(detail)
--- a/shallotwharf/platform/operators.py
+++ b/shallotwharf/platform/operators.py
@@ -11,7 +11,7 @@
 from shallotwharf.components.replica import messages as replica
 from shallotwharf.components.tables import version
 from shallotwharf.core import clock, errors, logs, messages
-from shallotwharf.platform import document
+from shallotwharf.platform import checks, document
 from shallotwharf.roles.control import operations
 from shallotwharf.roles.control import seeded as control_process
 
@@ -121,8 +121,8 @@
     async def post(self) -> None:
         """Order the move of a service to a version."""
         try:
-            order = _read_move(self.request.body, self._served.read_wall())
-        except (ValueError, TypeError, KeyError) as error:
+            order = read_move(self.request.body, self._served.read_wall())
+        except checks.FAULTS as error:
             self._reply(_INVALID, {'reason': repr(error)})
             return
         await self._async_order(order)
@@ -182,11 +182,15 @@
             await self._server.async_close()
 
 
-def _read_move(body: bytes, wall_now: int) -> ledger.OrderMove:
+def read_move(body: bytes, wall_now: int) -> ledger.OrderMove:
+    """Return the order of a move.
+
+    Raises:
+        ValueError: or another of `checks.FAULTS`, if it is not valid.
+    """
     found = json.loads(body)
     period_ms = round(float(found['periodS']) * clock.SECOND_MS)
-    if period_ms <= 0:
-        raise ValueError('the period is not above 0')
+    checks.check(period_ms > 0, 'the period is not above 0')
     return ledger.OrderMove(
         str(found['service']),
         str(found['toVersion']),
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -7,7 +7,7 @@
 
 from shallotwharf.adapters import admin
 from shallotwharf.core import callports, logs
-from shallotwharf.platform import settings
+from shallotwharf.platform import checks, settings
 from shallotwharf.roles.node import seeded as node_process
 
 _OK: typing.Final = 200
@@ -15,8 +15,6 @@
 _UNAVAILABLE: typing.Final = 503
 _DRAINING: typing.Final = 'draining'
 _STATES: typing.Final = frozenset(('ready', _DRAINING))
-# What reading a check-in of another shape raises.
-_FAULTS: typing.Final = (ValueError, TypeError, KeyError, AttributeError)
 # A cold upstream is slower, but runs as many requests at once.
 _WARMUP_MS: typing.Final = 0
 
@@ -37,7 +35,7 @@
         """Take a check-in."""
         try:
             report = read_report(instance, self.request.body, self._ports)
-        except _FAULTS as error:
+        except checks.FAULTS as error:
             logs.write('report_refused', instance=instance, error=repr(error))
             self._reply(_INVALID)
             return
@@ -120,13 +118,13 @@
     """
     found = json.loads(body)
     host, port = ports.upstream
-    _check(found['service'] == ports.service, 'another service')
-    _check(found['address'] == f'{host}:{port}', 'another address')
-    _check(found['zone'] == ports.datacentre, 'another place')
-    _check(found['state'] in _STATES, 'unknown state')
-    slots = _check_int(found['slots'])
-    _check(slots > 0, 'no slots')
-    _check(isinstance(found['version'], str), 'no version')
+    checks.check(found['service'] == ports.service, 'another service')
+    checks.check(found['address'] == f'{host}:{port}', 'another address')
+    checks.check(found['zone'] == ports.datacentre, 'another place')
+    checks.check(found['state'] in _STATES, 'unknown state')
+    slots = checks.check_count(found['slots'])
+    checks.check(slots > 0, 'no slots')
+    checks.check(isinstance(found['version'], str), 'no version')
     return callports.UpstreamReport(
         callports.UpstreamDescription(
             found['service'],
@@ -138,25 +136,17 @@
             instance,
         ),
         found['state'] == _DRAINING,
-        _check_int(found.get('born', 0)),
-        _check_int(found['sequence']),
+        checks.check_count(found.get('born', 0)),
+        checks.check_count(found['sequence']),
     )
 
 
 def _read_start(body: bytes) -> int:
     """Return when an instance that ends started; 0 if it does not say."""
     try:
-        return _check_int(json.loads(body).get('born', 0)) if body else 0
-    except (ValueError, TypeError, AttributeError) as error:
+        return (
+            checks.check_count(json.loads(body).get('born', 0)) if body else 0
+        )
+    except checks.FAULTS as error:
         logs.write('report_start_unknown', error=repr(error))
         return 0
-
-
-def _check_int(raw: typing.Any) -> int:
-    _check(type(raw) is int and raw >= 0, 'not a whole number')
-    return int(raw)
-
-
-def _check(holds: bool, detail: str) -> None:
-    if not holds:
-        raise ValueError(detail)
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -105,6 +105,8 @@
         (('clusters',), None),
         ((*ACTION, 'timeoutS'), 601),
         ((*ACTION, 'timeoutS'), 'soon'),
+        ((*ACTION, 'timeoutS'), float('inf')),
+        ((*RULE, 'aimS'), float('inf')),
         ((*ACTION, 'maxAttempts'), 0),
         ((*ACTION, 'weightedServices', 0, 'weight'), -1),
         ((*ACTION, 'weightedServices', 0, 'service'), 'unknown'),
--- /dev/null
+++ b/tests/platform/test_rollouts.py
@@ -0,0 +1,40 @@
+"""Guards against orders of moves that end in a server error."""
+
+import json
+
+import pytest
+
+from shallotwharf.platform import operators
+from tests.platform import test_upstreams
+
+ORDER = {'service': 'svc', 'toVersion': 'v2', 'periodS': 16.0}
+
+
+def read(changes):
+    return operators.read_move(json.dumps(ORDER | changes).encode(), 5)
+
+
+def test_order_is_read_in_milliseconds():
+    order = read({})
+    assert (order.service, order.to_version) == ('svc', 'v2')
+    assert order.period_ms == 16_000
+
+
+@pytest.mark.parametrize(
+    'period',
+    [0, -1, 'soon', None, [], float('inf'), float('nan')],
+)
+def test_period_that_is_none_is_refused(period):
+    with pytest.raises(operators.checks.FAULTS):
+        read({'periodS': period})
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'[]', b'null', b'{}', b'[' * 100_000, b'\xff'],
+)
+def test_unreadable_order_and_check_in_are_refused(body):
+    with pytest.raises(operators.checks.FAULTS):
+        operators.read_move(body, 5)
+    with pytest.raises(operators.checks.FAULTS):
+        test_upstreams.upstreams.read_report('i', body, test_upstreams.PORTS)
