Wire both kinds of processes by the same pieces

Cause: the node that finds control through seeds built its caller, gate, watcher and poison list as the other one does, in copied code; the control process kept its aggregates in a tuple read by position, and handed over a director that nobody asked. Change: node.wiring builds the path of a call once; ControlAggregates has a module of its own and serves both control processes, with its order of starts; seeds are given to the links in one place.

--- a/shallotwharf/roles/addresses.py
+++ b/shallotwharf/roles/addresses.py
@@ -4,7 +4,8 @@
 
 from shallotwharf.adapters import links
 from shallotwharf.components.roster import messages as roster
-from shallotwharf.core import aggregate, effects
+from shallotwharf.core import aggregate, effects, places
+from shallotwharf.roles.settings import seeded
 
 
 class ControlBook(aggregate.Aggregate):
@@ -37,3 +38,16 @@
                     known.place.link_port,
                 )
         return []
+
+
+def set_seeds(
+    process_links: links.WebsocketLinks,
+    seeds: tuple[places.Place, ...],
+) -> None:
+    """Give the links the addresses of the control processes known at first."""
+    for seed in seeds:
+        process_links.set_address(
+            seeded.name_process(seed.host),
+            seed.host,
+            seed.link_port,
+        )
--- a/shallotwharf/roles/control/api.py
+++ b/shallotwharf/roles/control/api.py
@@ -3,15 +3,12 @@
 import typing
 
 from shallotwharf.adapters import admin
-from shallotwharf.components.delivery import feed
-from shallotwharf.components.ledger import ledger
 from shallotwharf.components.ledger import messages as ledger_messages
-from shallotwharf.components.move import director
 from shallotwharf.components.replica import messages as replica_messages
-from shallotwharf.components.replica import replica
 from shallotwharf.components.tables import version
-from shallotwharf.core import aggregate, messages
+from shallotwharf.core import messages
 from shallotwharf.roles import process
+from shallotwharf.roles.control import aggregates as control_aggregates
 from shallotwharf.roles.control import edits, proposals, views
 from shallotwharf.roles.settings import model
 
@@ -19,36 +16,6 @@
 _HTTP_UNAVAILABLE: typing.Final = 503
 
 
-class ControlAggregates:
-    """The aggregates of a control process; `others` are not asked."""
-
-    __slots__ = ('replica', 'ledger', 'feed', 'director', 'others')
-
-    def __init__(
-        self,
-        control_replica: replica.Replica,
-        control_ledger: ledger.Ledger,
-        control_feed: feed.Feed,
-        control_director: director.Director,
-        others: tuple[aggregate.Aggregate, ...],
-    ) -> None:
-        self.replica = control_replica
-        self.ledger = control_ledger
-        self.feed = control_feed
-        self.director = control_director
-        self.others = others
-
-    def list_all(self) -> tuple[aggregate.Aggregate, ...]:
-        """Return all; those that consume events before their sources."""
-        return (
-            self.ledger,
-            self.feed,
-            self.director,
-            *self.others,
-            self.replica,
-        )
-
-
 class ControlApi:
     """Handlers of the admin address by method and path."""
 
@@ -58,7 +25,7 @@
         self,
         settings: model.ControlSettings,
         frame: process.Frame,
-        aggregates: ControlAggregates,
+        aggregates: control_aggregates.ControlAggregates,
     ) -> None:
         self._settings = settings
         self._frame = frame
--- a/shallotwharf/roles/control/operations.py
+++ b/shallotwharf/roles/control/operations.py
@@ -4,7 +4,6 @@
 
 from shallotwharf.components.ledger import ledger
 from shallotwharf.components.ledger import messages as ledger_messages
-from shallotwharf.components.move import director
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.replica import replica
 from shallotwharf.components.roster import messages as roster
@@ -45,25 +44,21 @@
 
     Reads are answered by the leader alone, while it holds its lease, so that
     they are never older than an acknowledged order.
-
-    Attributes:
-        roster: aggregate that must be started with the others.
     """
 
-    __slots__ = ('roster', '_frame', '_replica', '_ledger', '_director')
+    __slots__ = ('_frame', '_replica', '_ledger', '_roster')
 
     def __init__(
         self,
         frame: process.Frame,
         control_replica: replica.Replica,
         control_ledger: ledger.Ledger,
-        control_director: director.Director,
+        known_roster: KnownRoster,
     ) -> None:
-        self.roster = KnownRoster()
         self._frame = frame
         self._replica = control_replica
         self._ledger = control_ledger
-        self._director = control_director
+        self._roster = known_roster
 
     def read_wall(self) -> int:
         """Return milliseconds since the Unix epoch, for commands."""
@@ -78,7 +73,7 @@
         leader = self._replica.read_status().leader
         if leader == self._frame.name:
             return None
-        for known in self.roster.current.processes:
+        for known in self._roster.current.processes:
             if known.name == leader:
                 return known.place
         return None
--- a/shallotwharf/roles/control/process.py
+++ b/shallotwharf/roles/control/process.py
@@ -13,7 +13,7 @@
 from shallotwharf.components.replica import replica
 from shallotwharf.core import logs, messages
 from shallotwharf.roles import process
-from shallotwharf.roles.control import api, proposals
+from shallotwharf.roles.control import aggregates, api, proposals
 from shallotwharf.roles.settings import model
 
 
@@ -80,14 +80,14 @@
     settings: model.ControlSettings,
     storage: disk.DiskStorage,
     frame: process.Frame,
-) -> api.ControlAggregates:
+) -> aggregates.ControlAggregates:
     own = settings.own
     voters = tuple(
         delivery.ControlProcess(peer.name, peer.datacentre, peer.region)
         for peer in settings.control
     )
     source: random.Random = frame.random
-    return api.ControlAggregates(
+    return aggregates.ControlAggregates(
         replica.Replica(
             own.name,
             tuple(peer.name for peer in settings.control),
--- a/shallotwharf/roles/control/seeded.py
+++ b/shallotwharf/roles/control/seeded.py
@@ -14,7 +14,7 @@
 from shallotwharf.components.roster import registrar
 from shallotwharf.core import logs
 from shallotwharf.roles import addresses, process
-from shallotwharf.roles.control import operations
+from shallotwharf.roles.control import aggregates, operations
 from shallotwharf.roles.settings import seeded
 
 
@@ -39,7 +39,14 @@
 class SeededControlProcess(process.Process):
     """Owns one copy of the log and serves operators."""
 
-    __slots__ = ('_settings', '_frame', '_folder', '_front', '_aggregates')
+    __slots__ = (
+        '_settings',
+        '_frame',
+        '_folder',
+        '_front',
+        '_aggregates',
+        '_served',
+    )
 
     def __init__(
         self,
@@ -62,26 +69,25 @@
             settings.place.link_port,
             storage,
         )
-        self._aggregates = _build_aggregates(settings, storage, self._frame)
+        known = operations.KnownRoster()
+        self._aggregates = _build_aggregates(
+            settings,
+            storage,
+            self._frame,
+            known,
+        )
+        self._served = operations.Operations(
+            self._frame,
+            self._aggregates.replica,
+            self._aggregates.ledger,
+            known,
+        )
 
     async def async_start(self) -> None:
         """Look for the other control processes and serve operators."""
-        for seed in self._settings.seeds:
-            self._frame.links.set_address(
-                seeded.name_process(seed.host),
-                seed.host,
-                seed.link_port,
-            )
-        served = operations.Operations(self._frame, *self._aggregates[:3])
-        self._front.listen(served)
-        await self._frame.async_start(
-            *self._aggregates[1:],
-            served.roster,
-            registrar.Registrar(),
-            addresses.ControlBook(self._frame.links),
-            directory.Directory(),
-            self._aggregates[0],
-        )
+        addresses.set_seeds(self._frame.links, self._settings.seeds)
+        self._front.listen(self._served)
+        await self._frame.async_start(*self._aggregates.list_all())
         logs.write(
             'control_started',
             name=self._settings.name,
@@ -99,7 +105,8 @@
     settings: seeded.SeededControl,
     storage: disk.DiskStorage,
     frame: process.Frame,
-) -> tuple[replica.Replica, ledger.Ledger, director.Director, feed.Feed]:
+    known: operations.KnownRoster,
+) -> aggregates.ControlAggregates:
     source: random.Random = frame.random
     place = settings.place
     own = delivery.ControlProcess(
@@ -112,7 +119,7 @@
         settings.may_found,
         settings.wanted_voters,
     )
-    return (
+    return aggregates.ControlAggregates(
         replica.Replica(
             settings.name,
             (),
@@ -122,6 +129,12 @@
             place=place,
         ),
         ledger.Ledger(),
-        director.Director(frame.clock),
         feed.Feed(own, (own,), (), source),
+        director.Director(frame.clock),
+        (
+            known,
+            registrar.Registrar(),
+            addresses.ControlBook(frame.links),
+            directory.Directory(),
+        ),
     )
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -1,23 +1,17 @@
 """A node: calls, gate, membership, delivery, moves and once-only records."""
 
 import typing
-import uuid
 
 from shallotwharf.adapters import admin, inbound, services, upstreams
-from shallotwharf.components.call import caller
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.delivery import relay, subscriber
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
-from shallotwharf.components.move import watcher
 from shallotwharf.components.once import coordinator, holder
-from shallotwharf.components.poison import poison
-from shallotwharf.components.upstream import gate
 from shallotwharf.components.upstream import messages as upstream_messages
-from shallotwharf.components.upstream import settings as gate_settings
 from shallotwharf.core import logs
 from shallotwharf.roles import callpath, process
-from shallotwharf.roles.node import addresses, api, observer, refusals
+from shallotwharf.roles.node import addresses, api, wiring
 from shallotwharf.roles.settings import model
 
 # Longest time that a shutdown waits for calls in flight.
@@ -108,33 +102,15 @@
         for peer in settings.control
     )
     names = tuple(peer.name for peer in settings.control)
-    move_watcher = watcher.Watcher(
-        settings.name,
-        settings.datacentre,
-        names,
-        started_at,
-    )
-    poison_list = poison.PoisonList(settings.name, started_at)
-    node_gate = gate.Gate(
-        member,
-        gate_settings.GateSettings(),
-        refusals.ListedRequests(poison_list),
-        started_at,
-    )
+    path = wiring.CallPath(member, names, frame, started_at)
     return api.NodeAggregates(
-        caller.Caller(
-            member,
-            uuid.uuid4().hex[:8],
-            frame.random,
-            observer.WatchingObserver(move_watcher),
-            count_own_spare=node_gate.count_spare,
-        ),
-        node_gate,
+        path.caller,
+        path.gate,
         subscriber.Subscriber(member, control, frame.random),
         (
             addresses.AddressBook(frame.links),
-            move_watcher,
-            poison_list,
+            path.watcher,
+            path.poison_list,
             holder.Holder(
                 settings.name,
                 started_at,
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -3,23 +3,17 @@
 import abc
 import asyncio
 import typing
-import uuid
 
 from shallotwharf.adapters import inbound, outbound, services, vocabulary
-from shallotwharf.components.call import caller
 from shallotwharf.components.delivery import direct
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
-from shallotwharf.components.move import watcher
-from shallotwharf.components.poison import poison
 from shallotwharf.components.roster import finder
-from shallotwharf.components.upstream import gate
 from shallotwharf.components.upstream import messages as upstream_messages
-from shallotwharf.components.upstream import settings as gate_settings
 from shallotwharf.core import callports, clock, logs
 from shallotwharf.roles import addresses as control_addresses
 from shallotwharf.roles import callpath, process
-from shallotwharf.roles.node import addresses, observer, refusals
+from shallotwharf.roles.node import addresses, wiring
 from shallotwharf.roles.settings import seeded
 
 # Operators allow bodies of up to 64 MiB.
@@ -75,8 +69,7 @@
         '_settings',
         '_front',
         '_frame',
-        '_caller',
-        '_gate',
+        '_path',
         '_subscriber',
         '_others',
         '_services',
@@ -112,19 +105,14 @@
     async def async_start(self) -> None:
         """Look for control and members, then accept calls."""
         settings = self._settings
-        for seed in settings.seeds:
-            self._frame.links.set_address(
-                seeded.name_process(seed.host),
-                seed.host,
-                seed.link_port,
-            )
+        control_addresses.set_seeds(self._frame.links, settings.seeds)
         dispatcher = self._frame.dispatcher
         self._front.listen(self, callpath.DispatchedRegistry(dispatcher))
         await self._frame.async_start(
-            self._caller,
+            self._path.caller,
             self._subscriber,
             *self._others,
-            self._gate,
+            self._path.gate,
         )
         host = settings.place.host
         public, private = self._servers
@@ -135,7 +123,7 @@
     def is_ready(self) -> bool:
         """Tell whether a version is in force and no shutdown has begun."""
         now = self._frame.clock.read()
-        return not self._is_stopping and self._caller.is_able(now)
+        return not self._is_stopping and self._path.caller.is_able(now)
 
     def render_counters(self) -> str:
         """Return all counters as text."""
@@ -186,33 +174,19 @@
             settings.call_port,
         )
         seeds = tuple(seeded.name_process(seed.host) for seed in settings.seeds)
-        move_watcher = watcher.Watcher(
-            settings.name,
-            place.datacentre,
-            (),
-            started_at,
-        )
-        poison_list = poison.PoisonList(settings.name, started_at)
-        self._gate = gate.Gate(
+        self._path = wiring.CallPath(
             member,
-            gate_settings.GateSettings(),
-            refusals.ListedRequests(poison_list),
+            (),
+            frame,
             started_at,
-        )
-        self._caller = caller.Caller(
-            member,
-            uuid.uuid4().hex[:8],
-            frame.random,
-            observer.WatchingObserver(move_watcher),
             settings.retries,
-            self._gate.count_spare,
         )
         self._subscriber = direct.DirectSubscriber(member, frame.random)
         self._others = (
             addresses.AddressBook(frame.links),
             control_addresses.ControlBook(frame.links),
-            move_watcher,
-            poison_list,
+            self._path.watcher,
+            self._path.poison_list,
             membership.Membership(
                 member,
                 started_at,
@@ -230,8 +204,8 @@
         frame = self._frame
         return callpath.build_services(
             frame.dispatcher,
-            self._caller,
-            self._gate,
+            self._path.caller,
+            self._path.gate,
             frame.requests,
             frame.clock,
             frame.counters,
