Remove what nothing uses; split the latency measurement

Cause: gauges, a reader of percentiles, three limits and a reason had no user left; the measurement of latency had the clients it compares in the same 500 lines. Change: they are gone; measurements.forwarding has the clients.

--- a/measurements/latency.py
+++ b/measurements/latency.py
@@ -15,7 +15,6 @@
 
 import argparse
 import asyncio
-import io
 import os
 import pathlib
 import socket
@@ -24,21 +23,12 @@
 import sys
 import time
 
-import pycurl
-from tornado import (
-    curl_httpclient,
-    http1connection,
-    httpclient,
-    httpserver,
-    httputil,
-    iostream,
-)
+from tornado import httpserver
 
-from shallotwharf.adapters import connection, outbound
-from shallotwharf.core import calls, counters
+from measurements import forwarding
 from tests import callnodes
 
-HOST = '127.0.0.1'
+HOST = forwarding.HOST
 BODY = b'{"order": 4711, "state": "cutting", "station": 3, "due": "05:40"}'
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
@@ -110,236 +100,6 @@
         self.front.write(data)
 
 
-class Forwarder(httputil.HTTPServerConnectionDelegate):
-    """Tornado's server with one of the outbound clients."""
-
-    __slots__ = ('send',)
-
-    def __init__(self, send):
-        self.send = send
-
-    def start_request(self, server_conn, request_conn):
-        return Forwarded(request_conn, self.send)
-
-    def on_close(self, server_conn):
-        pass
-
-
-class Forwarded(httputil.HTTPMessageDelegate):
-    __slots__ = (
-        'connection',
-        'send',
-        'start_line',
-        'headers',
-    )
-
-    def __init__(self, connection, send):
-        self.connection = connection
-        self.send = send
-
-    def headers_received(self, start_line, headers):
-        self.start_line = start_line
-        self.headers = headers
-
-    def finish(self):
-        self.send(self.start_line, self.headers, self.answer)
-
-    def answer(self, status, headers, body):
-        headers['Content-Length'] = str(len(body))
-        self.connection.write_headers(
-            httputil.ResponseStartLine('', status, 'OK'), headers, body
-        )
-        self.connection.finish()
-
-
-def make_tornado_curl(port):
-    client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
-
-    def send(start_line, headers, answer):
-        request = httpclient.HTTPRequest(
-            f'http://{HOST}:{port}{start_line.path}',
-            method=start_line.method,
-            headers=headers,
-        )
-
-        def done(future):
-            got = future.result()
-            answer(got.code, got.headers, got.body)
-
-        client.fetch(request).add_done_callback(done)
-
-    return send
-
-
-class CurlMulti:
-    """Pycurl's multi interface on the event loop, with handles reused."""
-
-    __slots__ = (
-        'port',
-        'loop',
-        'multi',
-        'free',
-        'timer',
-    )
-
-    def __init__(self, port):
-        self.port = port
-        self.loop = asyncio.get_running_loop()
-        self.multi = pycurl.CurlMulti()
-        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self.on_socket)
-        self.multi.setopt(pycurl.M_TIMERFUNCTION, self.on_timer)
-        self.free = []
-        self.timer = None
-
-    def on_socket(self, event, fd, multi, data):
-        self.loop.remove_reader(fd)
-        self.loop.remove_writer(fd)
-        if event in (pycurl.POLL_IN, pycurl.POLL_INOUT):
-            self.loop.add_reader(fd, self.act, fd, pycurl.CSELECT_IN)
-        if event in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
-            self.loop.add_writer(fd, self.act, fd, pycurl.CSELECT_OUT)
-
-    def on_timer(self, timeout_ms):
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if timeout_ms == 0:
-            self.timer = self.loop.call_soon(self.act, pycurl.SOCKET_TIMEOUT, 0)
-        elif timeout_ms > 0:
-            self.timer = self.loop.call_later(
-                timeout_ms / 1000, self.act, pycurl.SOCKET_TIMEOUT, 0
-            )
-
-    def act(self, fd, events):
-        self.multi.socket_action(fd, events)
-        self.collect()
-
-    def collect(self):
-        while True:
-            left, done, failed = self.multi.info_read()
-            assert not failed, failed
-            for handle in done:
-                self.multi.remove_handle(handle)
-                self.free.append(handle)
-                headers = httputil.HTTPHeaders()
-                for line in handle.lines[1:]:
-                    headers.parse_line(line.decode('latin1'))
-                status = handle.getinfo(pycurl.RESPONSE_CODE)
-                handle.answer(status, headers, handle.buffer.getvalue())
-            if not left:
-                return
-
-    def send(self, start_line, headers, answer):
-        handle = self.free.pop() if self.free else self.make_handle()
-        handle.buffer = io.BytesIO()
-        handle.lines = []
-        handle.answer = answer
-        handle.setopt(pycurl.URL, f'http://{HOST}:{self.port}{start_line.path}')
-        handle.setopt(
-            pycurl.HTTPHEADER,
-            [f'{name}: {field}' for name, field in headers.get_all()],
-        )
-        handle.setopt(pycurl.WRITEFUNCTION, handle.buffer.write)
-        handle.setopt(pycurl.HEADERFUNCTION, handle.lines.append)
-        self.multi.add_handle(handle)
-        # A fast answer may complete within this call.
-        self.act(pycurl.SOCKET_TIMEOUT, 0)
-
-    def make_handle(self):
-        handle = pycurl.Curl()
-        handle.setopt(pycurl.NOSIGNAL, 1)
-        return handle
-
-
-class Http1Client(httputil.HTTPMessageDelegate):
-    """Tornado's HTTP1Connection as a client on one persistent stream."""
-
-    __slots__ = (
-        'port',
-        'free',
-    )
-
-    def __init__(self, port):
-        self.port = port
-        self.free = []
-
-    def send(self, start_line, headers, answer):
-        if self.free:
-            self.free.pop().send(start_line, headers, answer)
-        else:
-            opened = Http1Stream(self)
-            opened.task = asyncio.ensure_future(
-                opened.run(start_line, headers, answer)
-            )
-
-
-class Http1Stream(httputil.HTTPMessageDelegate):
-    __slots__ = (
-        'client',
-        'stream',
-        'http',
-        'answer',
-        'status',
-        'headers',
-        'body',
-    )
-
-    def __init__(self, client):
-        self.client = client
-        self.stream = iostream.IOStream(socket.socket())
-        self.http = self.make()
-
-    def make(self):
-        return http1connection.HTTP1Connection(self.stream, True)
-
-    def send(self, start_line, headers, answer):
-        self.answer = answer
-        self.http.write_headers(start_line, headers)
-        self.http.finish()
-
-    async def run(self, *first):
-        await self.stream.connect((HOST, self.client.port))
-        self.send(*first)
-        while await self.http.read_response(self):
-            self.http = self.make()
-            self.client.free.append(self)
-
-    def headers_received(self, start_line, headers):
-        self.status = start_line.code
-        self.headers = headers
-        self.body = b''
-
-    def data_received(self, chunk):
-        self.body += chunk
-
-    def finish(self):
-        self.answer(self.status, self.headers, self.body)
-
-
-def make_own(port):
-    sender = outbound.Outbound(counters.Counters())
-
-    def send(start_line, headers, answer):
-        def done(ended, got):
-            assert ended.outcome == calls.OUTCOME_ANSWERED, ended
-            answer(got.status, got.headers, got.body)
-
-        sender.send(
-            HOST,
-            port,
-            connection.Outgoing(
-                start_line,
-                headers,
-                b'',
-                lambda: True,
-                done,
-                lambda _: True,
-            ),
-        )
-
-    return send
-
-
 async def async_serve(name, ports, inner):
     """Run the server of a variant; `inner` is the upstream's port."""
     loop = asyncio.get_running_loop()
@@ -349,20 +109,20 @@
     elif name == 'byte_relay':
         await loop.create_server(lambda: Relay(inner), HOST, port)
     elif name == 'tornado_curl':
-        serve_forwarder(make_tornado_curl(inner), port)
+        serve_forwarder(forwarding.make_tornado_curl(inner), port)
     elif name == 'pycurl_multi':
-        serve_forwarder(CurlMulti(inner).send, port)
+        serve_forwarder(forwarding.CurlMulti(inner).send, port)
     elif name == 'http1connection':
-        serve_forwarder(Http1Client(inner).send, port)
+        serve_forwarder(forwarding.Http1Client(inner).send, port)
     elif name == 'tornado_wire':
-        serve_forwarder(make_own(inner), port)
+        serve_forwarder(forwarding.make_own(inner), port)
     else:
         await async_serve_node(name, ports, inner)
     await asyncio.Event().wait()
 
 
 def serve_forwarder(send, port):
-    httpserver.HTTPServer(Forwarder(send)).listen(port, HOST)
+    httpserver.HTTPServer(forwarding.Forwarder(send)).listen(port, HOST)
 
 
 async def async_serve_node(name, ports, inner):
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -12,7 +12,6 @@
 REASON_DEADLINE: typing.Final = 'deadline_too_short'
 REASON_KEY: typing.Final = 'idempotency_key_missing'
 REASON_FORWARDED: typing.Final = 'forwarded_header_invalid'
-REASON_LATE: typing.Final = 'deadline_passed'
 
 # A refusal for these reasons would be the same elsewhere.
 FINAL_REASONS: typing.Final = frozenset(('poison_request', REASON_DEADLINE))
--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -26,11 +26,8 @@
 # Longer waits turn into late answers; a refusal can still run elsewhere.
 DEFAULT_QUEUE_WAIT_MS: typing.Final = 50
 DEFAULT_QUEUE_LIMIT: typing.Final = 16
-DEFAULT_WARMUP_MS: typing.Final = 10_000
 # Changes of spare slots are announced at most this often.
 DEFAULT_ANNOUNCE_INTERVAL_MS: typing.Final = 200
-MAX_WARMUP_MS: typing.Final = 600_000
-MAX_SLOTS: typing.Final = 10_000
 
 # Failures in a row after which the upstream counts as unhealthy.
 FAILURE_LIMIT: typing.Final = 10
--- a/shallotwharf/core/counters.py
+++ b/shallotwharf/core/counters.py
@@ -17,21 +17,16 @@
     A name is dotted, such as `call.refused.slots_full`.
     """
 
-    __slots__ = ('_counts', '_gauges', '_times')
+    __slots__ = ('_counts', '_times')
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
-        self._gauges: dict[str, float] = {}
         self._times: dict[str, histogram.HdrHistogram] = {}
 
     def add(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
         self._counts[name] = self._counts.get(name, 0) + amount
 
-    def set_gauge(self, name: str, value: float) -> None:
-        """Set a value that may fall as well as rise."""
-        self._gauges[name] = value
-
     def record_time(self, name: str, duration_us: int) -> None:
         """Record a duration in microseconds."""
         times = self._times.get(name)
@@ -52,29 +47,20 @@
         """Return a copy of all counters."""
         return dict(self._counts)
 
-    def read_percentile_us(self, name: str, percentile: float) -> int:
-        """Return a percentile of a time in microseconds; 0 if none."""
-        times = self._times.get(name)
-        if times is None:
-            return 0
-        return int(times.get_value_at_percentile(percentile))
-
     def render(self) -> str:
         """Return all values in the Prometheus text exposition format."""
         lines: list[str] = []
         for name, count in sorted(self._counts.items()):
-            lines.extend(_render_sample(name, 'counter', count))
-        for gauge, level in sorted(self._gauges.items()):
-            lines.extend(_render_sample(gauge, 'gauge', level))
+            lines.extend(_render_counter(name, count))
         for time_name, times in sorted(self._times.items()):
             lines.extend(_render_summary(time_name, times))
         lines.append('')
         return '\n'.join(lines)
 
 
-def _render_sample(name: str, kind: str, value: float) -> list[str]:
+def _render_counter(name: str, count: int) -> list[str]:
     metric = f'{_PREFIX}{name.replace(".", "_")}'
-    return [f'# TYPE {metric} {kind}', f'{metric} {value}']
+    return [f'# TYPE {metric} counter', f'{metric} {count}']
 
 
 def _render_summary(name: str, times: histogram.HdrHistogram) -> list[str]:
