Keep the decision on another attempt in a module of its own

Change: Attempts has what was tried, the times that bound the call and the order in which a retry is refused; the plan asks it.

--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -3,6 +3,7 @@
 import uuid
 
 from shallotwharf.components.call import (
+    attempts,
     chooser,
     const,
     context,
@@ -28,17 +29,11 @@
         '_entry',
         '_pool',
         '_call_id',
-        '_deadline_at',
-        '_start_by',
         '_attempts',
-        '_arrivals',
-        '_free',
         '_tried',
         '_target',
         '_version',
         '_sent_at',
-        '_began_at',
-        '_may_have_run',
         '_guarded',
     )
 
@@ -50,25 +45,17 @@
         self._entry: index.RouteEntry | None = None
         self._pool: index.PoolEntry | None = None
         self._call_id = ''
-        self._deadline_at = 0
-        self._start_by = const.NO_LIMIT_AT
-        self._attempts = 0
-        # Attempts that arrived at an upstream.
-        self._arrivals = 0
-        # Refusals on the way that do not count as retries.
-        self._free = 0
+        self._attempts = attempts.Attempts()
         self._tried: set[str] = set()
         self._target: targets.Target | None = None
         self._version = ''
         self._sent_at = 0
-        self._began_at = 0
-        self._may_have_run = False
         self._guarded = False
 
     def start(self, now: int) -> calls.Step:
         """Match the route; choose an upstream or ask the guard."""
         request = self._request
-        self._began_at = now
+        self._attempts.began_at = now
         entry = self._context.find_route(
             request.method,
             request.path,
@@ -81,7 +68,7 @@
         limit_ms = entry.row.timeout_ms
         if request.deadline_ms is not None:
             limit_ms = min(limit_ms, request.deadline_ms)
-        self._deadline_at = now + limit_ms
+        self._attempts.deadline_at = now + limit_ms
         self._call_id = self._context.make_call_id()
         if not request.retried:
             self._pool.budget.note_call()
@@ -89,19 +76,19 @@
             return self._choose(now)
         if not _is_key(request.key):
             return self._respond(const.STATUS_BAD_REQUEST, const.REASON_KEY)
-        return calls.Guard(self._deadline_at)
+        return calls.Guard(self._attempts.deadline_at)
 
     def apply_guard(self, reply: calls.GuardReply, now: int) -> calls.Step:
         """Run a granted call, otherwise answer what the guard says."""
         if isinstance(reply, calls.Granted):
             self._guarded = True
-            self._start_by = reply.expires_at
+            self._attempts.start_by = reply.expires_at
             return self._choose(now)
         if isinstance(reply, calls.Replayed):
             return calls.Replay(reply.status, reply.content_type, reply.body)
         if not isinstance(reply, calls.Denied):
             raise TypeError(f'{reply!r} is not a reply of the guard')
-        self._may_have_run = not reply.not_run
+        self._attempts.may_have_run = not reply.not_run
         return self._respond(const.STATUS_UNAVAILABLE, reply.reason)
 
     def resume(self, result: calls.Result, now: int) -> calls.Step:
@@ -110,10 +97,10 @@
         entry = self._read_entry()
         rule = rules.find_rule(result.outcome, entry.row.idempotent)
         self._observe(rule, result, now)
-        ran_before = self._may_have_run
-        self._arrivals += int(result.reached)
+        ran_before = self._attempts.may_have_run
+        self._attempts.arrivals += int(result.reached)
         if not rule.not_run:
-            self._may_have_run = True
+            self._attempts.may_have_run = True
         self._tried.add(target.announcement.node.name)
         if not rule.status:
             return self._end_answered(result, now, target)
@@ -190,44 +177,16 @@
         now: int,
         ran_twice: bool,
     ) -> str:
-        """Return why no retry is allowed; empty if one is.
-
-        A request that ended two upstreams is not shown to a third.
-        """
-        entry = self._read_entry()
+        """Return why no retry is allowed; empty if one is."""
         if self._request.retried:
             return const.DENIED_DEEPER
-        if ran_twice:
-            return const.DENIED_RAN_TWICE
-        budget = self._read_pool().budget
-        is_free = (
-            not result.reached and self._free < budget.limits.free_refusals
+        return self._attempts.find_denial(
+            self._read_pool(),
+            self._read_entry().row,
+            result,
+            now,
+            ran_twice,
         )
-        self._free += int(is_free)
-        if self._attempts - self._free > entry.row.retries:
-            return const.DENIED_LIMIT
-        return self._find_shortage(result, now, is_free)
-
-    def _find_shortage(
-        self,
-        result: calls.Result,
-        now: int,
-        is_free: bool,
-    ) -> str:
-        """Return what is lacking for a retry: time or budget."""
-        if result.reason in const.FULL_REASONS and self._is_held(now):
-            return const.DENIED_HELD
-        if now + const.HOP_CUT_MS >= min(self._deadline_at, self._start_by):
-            return const.DENIED_DEADLINE
-        # A call that reached no upstream yet adds no arrival to its first one.
-        is_first = is_free and not self._arrivals
-        if not is_first and not self._read_pool().budget.take(now):
-            return const.DENIED_BUDGET
-        return ''
-
-    def _is_held(self, now: int) -> bool:
-        aim_ms = self._read_entry().row.aim_ms
-        return bool(aim_ms) and now - self._began_at > aim_ms // const.HELD_PART
 
     def _choose(self, now: int) -> calls.Step:
         known = self._context
@@ -255,14 +214,14 @@
 
     def _send(self, target: targets.Target, now: int) -> calls.Step:
         cut_ms = const.HOP_CUT_MS + target.latency_ms
-        if now + cut_ms >= min(self._deadline_at, self._start_by):
+        if self._attempts.is_too_late(cut_ms, now):
             return self._respond(
                 const.STATUS_TIMEOUT,
                 const.REASON_DEADLINE,
             )
         if target.latency_ms:
             self._context.count(const.COUNTER_SPILLED)
-        self._attempts += 1
+        self._attempts.sent += 1
         self._sent_at = now
         self._target = target
         target.in_flight += 1
@@ -272,12 +231,12 @@
 
     def _build_enter(self, target: targets.Target) -> calls.Step:
         return calls.Enter(
-            f'{self._call_id}.{self._attempts}',
+            f'{self._call_id}.{self._attempts.sent}',
             self._read_entry().rank,
             target.announcement.service,
             target.announcement.version,
-            self._deadline_at - const.HOP_CUT_MS,
-            self._start_by,
+            self._attempts.deadline_at - const.HOP_CUT_MS,
+            self._attempts.start_by,
             self._is_retry(),
         )
 
@@ -289,15 +248,17 @@
     ) -> calls.Step:
         row = target.announcement
         start_ms = 0
-        if self._start_by != const.NO_LIMIT_AT:
-            start_ms = max(self._start_by - now - const.START_MARGIN_MS, 1)
+        if self._attempts.start_by != const.NO_LIMIT_AT:
+            start_ms = max(
+                self._attempts.start_by - now - const.START_MARGIN_MS, 1
+            )
         rank = self._read_entry().rank
         return calls.Forward(
-            f'{self._call_id}.{self._attempts}',
+            f'{self._call_id}.{self._attempts.sent}',
             row.node.host,
             row.node.call_port,
             f'{rank} {row.service} {row.version} {start_ms}',
-            self._deadline_at,
+            self._attempts.deadline_at,
             cut_ms,
             self._is_retry(),
         )
@@ -317,7 +278,7 @@
         if not (fails and row.idempotent and limits.repeats_errors):
             return calls.Relay()
         # Another run takes about as long as this one did.
-        in_time = now - self._sent_at < self._deadline_at - now
+        in_time = now - self._sent_at < self._attempts.deadline_at - now
         if not in_time or self._find_denial(result, now, ran_twice=False):
             return calls.Relay()
         self._context.count(f'{const.COUNTER_RETRIED}status_{result.status}')
@@ -333,7 +294,7 @@
         if result.status >= const.STATUS_SERVER_ERROR:
             reason = f'status_{result.status}'
             self._report('call_failed', now, target, reason)
-        elif row.aim_ms and now - self._began_at > row.aim_ms:
+        elif row.aim_ms and now - self._attempts.began_at > row.aim_ms:
             self._report('call_late', now, target, f'aim_{row.aim_ms}')
 
     def _report(
@@ -349,21 +310,21 @@
             event,
             {
                 'id': self._request.label,
-                'call': f'{self._call_id}.{self._attempts}',
+                'call': f'{self._call_id}.{self._attempts.sent}',
                 'route': self._read_entry().row.name,
                 'node': announced.node.name,
                 'served': announced.version,
                 'reason': reason,
                 'attempt_ms': now - self._sent_at,
-                'call_ms': now - self._began_at,
-                'left_ms': self._deadline_at - now,
+                'call_ms': now - self._attempts.began_at,
+                'left_ms': self._attempts.deadline_at - now,
                 'spare': target.estimate_spare(),
                 'generation': announced.generation,
             },
         )
 
     def _is_retry(self) -> bool:
-        return self._request.retried or self._attempts > 1
+        return self._request.retried or self._attempts.sent > 1
 
     def _read_entry(self) -> index.RouteEntry:
         if self._entry is None:
@@ -396,9 +357,9 @@
                 'route': self._entry.row.name if self._entry else '',
                 'status': status,
                 'reason': reason,
-                'not_run': not self._may_have_run,
-                'attempts': self._attempts,
-                'reached': self._arrivals,
+                'not_run': not self._attempts.may_have_run,
+                'attempts': self._attempts.sent,
+                'reached': self._attempts.arrivals,
             },
         )
         retry_after_ms = 0
@@ -407,7 +368,7 @@
         return calls.Respond(
             status,
             reason,
-            not self._may_have_run,
+            not self._attempts.may_have_run,
             retry_after_ms,
         )
 
