Prefer targets that do not fail often

The nearest upstream with free slots was chosen all the same, and a shedding one looks free; retries, a fifth of the calls, could not make up for it. The same holds for upstreams that close a share of their calls. Change: each node keeps the share of its own attempts that failed at a target, halved each 2 s. A target above 15% comes after all others that have room, wherever they are. Lack of room at a gate does not count.

--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -49,42 +49,36 @@
 ) -> targets.Target | None:
     """Return the nearest target with room, else the best of the nearest.
 
-    Among data centres of equal latency the one with more spare slots wins.
+    Targets that fail often come after all others with room. Among data
+    centres of equal latency the one with more spare slots wins.
     """
-    nearest: targets.Target | None = None
-    best: targets.Target | None = None
-    for group in groups:
-        if best is not None and group.latency_ms > best.latency_ms:
-            return best
-        picked = group.pick(source, tried, now)
-        if nearest is None:
-            nearest = picked
-        if targets.has_room(picked, tried, now):
-            best = _find_better(best, picked)
-    return best or _find_untried(groups, nearest, tried, source, now)
+    picked = [group.pick(source, tried, now) for group in groups]
+    open_ones = [
+        target for target in picked if targets.has_room(target, tried, now)
+    ]
+    sound = [target for target in open_ones if not target.faults.is_high(now)]
+    return _find_nearest(sound or open_ones) or _find_untried(picked, tried)
 
 
-def _find_better(
-    best: targets.Target | None,
-    picked: targets.Target,
-) -> targets.Target:
-    if best is None or picked.estimate_spare() > best.estimate_spare():
-        return picked
-    return best
+def _find_nearest(
+    candidates: list[targets.Target],
+) -> targets.Target | None:
+    """Return the one with most spare slots of those that are nearest."""
+    return max(
+        candidates,
+        key=lambda target: (-target.latency_ms, target.estimate_spare()),
+        default=None,
+    )
 
 
 def _find_untried(
-    groups: list[targets.Group],
-    nearest: targets.Target | None,
+    picked: list[targets.Target],
     tried: abc.Container[str],
-    source: random.Random,
-    now: int,
 ) -> targets.Target | None:
     """Return a target where nothing has room, one not yet tried if any."""
-    if nearest is None or nearest.announcement.node.name not in tried:
-        return nearest
-    for group in groups:
-        picked = group.pick(source, tried, now)
-        if picked.announcement.node.name not in tried:
-            return picked
-    return nearest
+    untried = (
+        target
+        for target in picked
+        if target.announcement.node.name not in tried
+    )
+    return next(untried, picked[0] if picked else None)
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -137,6 +137,8 @@
         target.in_flight -= 1
         if result.spare >= 0:
             target.note_spare(result.spare, now)
+        if result.outcome != calls.OUTCOME_CANCELLED:
+            target.faults.note(rules.is_fault(result), now)
         if result.outcome in const.SILENT_OUTCOMES:
             target.note_unreached(now)
             return target
--- a/shallotwharf/components/call/rules.py
+++ b/shallotwharf/components/call/rules.py
@@ -95,6 +95,16 @@
     return _RULES[outcome, repeatable]
 
 
+def is_fault(ended: calls.Result) -> bool:
+    """Tell whether the end of an attempt speaks against the target.
+
+    A refusal by the gate only tells that there was no room.
+    """
+    if ended.outcome == calls.OUTCOME_ANSWERED:
+        return ended.status >= const.STATUS_SERVER_ERROR
+    return ended.reached
+
+
 def classify(
     rule: Rule,
     attempt: calls.Result,
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -4,7 +4,7 @@
 import typing
 from collections import abc
 
-from shallotwharf.components.call import const
+from shallotwharf.components.call import const, faults
 from shallotwharf.components.membership import messages as membership
 
 OPEN_STATES = frozenset(
@@ -20,6 +20,7 @@
         latency_ms: one-way latency to its node.
         in_flight: own attempts that run there.
         avoid_until: it is chosen before then only if nothing else is left.
+        faults: how often own attempts there failed lately.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         'latency_ms',
         'in_flight',
         'avoid_until',
+        'faults',
         '_known_in_flight',
         '_spare',
         '_spare_until',
@@ -42,6 +44,7 @@
         self.latency_ms = latency_ms
         self.in_flight = 0
         self.avoid_until = 0
+        self.faults = faults.FaultShare()
         self._known_in_flight = 0
         self._spare = announcement.spare
         self._spare_until = 0
@@ -55,6 +58,7 @@
         if announcement.generation > self.announcement.generation:
             self.avoid_until = 0
             self._unreached_ms = 0
+            self.faults = faults.FaultShare()
         self.announcement = announcement
         if now >= self._spare_until:
             self._spare = announcement.spare
@@ -151,11 +155,12 @@
     target: Target,
     tried: abc.Container[str],
     now: int,
-) -> tuple[bool, bool, int, int]:
+) -> tuple[bool, bool, bool, int, int]:
     """Return a rating; the higher one is chosen."""
     return (
         target.announcement.node.name not in tried,
         now >= target.avoid_until,
+        not target.faults.is_high(now),
         target.estimate_spare(),
         -target.in_flight,
     )
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -1,5 +1,7 @@
 """Guards against targets whose load or return goes unnoticed."""
 
+import pytest
+
 from shallotwharf.core import calls
 from tests.components.call import build
 
@@ -67,3 +69,55 @@
         again = made.plan(calls.Request('GET', '/'))
         again.start(1000)
         assert again._target is not frozen
+
+
+def find_chosen(made, now):
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(now)
+    chosen = plan._target.announcement.node.name
+    plan.cancel(now)
+    return chosen
+
+
+def end_calls(made, count, ended, now=0):
+    for _ in range(count):
+        plan = made.plan(calls.Request('POST', '/cut'))
+        plan.start(now)
+        plan.resume(ended, now)
+
+
+@pytest.mark.parametrize(
+    'failure',
+    [
+        calls.Result(calls.OUTCOME_REFUSED, calls.REASON_UPSTREAM_FULL),
+        calls.Result(calls.OUTCOME_CLOSED),
+        calls.Result(calls.OUTCOME_ANSWERED, '', 500),
+    ],
+)
+def test_target_that_fails_often_comes_after_those_further_away(failure):
+    near = build.build_row('near')
+    made = build.build_caller(near, build.build_row('far', 'd2', 'r2'))
+    end_calls(made, 1, failure)
+    assert find_chosen(made, 100) == 'near'
+    end_calls(made, 2, failure, 100)
+    assert find_chosen(made, 200) == 'far'
+    # It gets attempts again after a while.
+    assert find_chosen(made, 9000) == 'near'
+
+
+def test_targets_that_all_fail_are_chosen_as_if_none_did():
+    made = build.build_caller(
+        build.build_row('near'), build.build_row('far', 'd2', 'r2')
+    )
+    for _ in range(20):
+        end_calls(made, 1, calls.Result(calls.OUTCOME_CLOSED))
+    assert find_chosen(made, 100) == 'near'
+
+
+def test_lack_of_room_does_not_speak_against_a_target():
+    made = build.build_caller(
+        build.build_row('near'), build.build_row('far', 'd2', 'r2')
+    )
+    full = calls.Result(calls.OUTCOME_REFUSED, 'slots_full')
+    end_calls(made, 20, full)
+    assert find_chosen(made, 100) == 'near'
