Try a target again soon after it was full

Cause: a node learns the load of a target from answers, and else from announcements up to 4 s apart. Change: a target without spare slots counts as full for 100 ms; then one attempt at a time finds out.

--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -57,16 +57,19 @@
         target for target in picked if targets.has_room(target, tried, now)
     ]
     sound = [target for target in open_ones if not target.faults.is_high(now)]
-    return _find_nearest(sound or open_ones) or _find_untried(picked, tried)
+    return _find_nearest(sound or open_ones, now) or _find_untried(
+        picked, tried
+    )
 
 
 def _find_nearest(
     candidates: list[targets.Target],
+    now: int,
 ) -> targets.Target | None:
     """Return the one with most spare slots of those that are nearest."""
     return max(
         candidates,
-        key=lambda target: (-target.latency_ms, target.estimate_spare()),
+        key=lambda target: (-target.latency_ms, target.estimate_spare(now)),
         default=None,
     )
 
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -93,3 +93,6 @@
 # An announced number of spare slots is older than one that came with an
 # answer within this time.
 SPARE_LIFETIME_MS: typing.Final = 1000
+# A target without spare slots counts as full for this time only: with ten
+# slots and runs of about 100 ms a slot gets free within some ten milliseconds.
+FULL_LIFETIME_MS: typing.Final = 100
--- a/shallotwharf/components/call/explain.py
+++ b/shallotwharf/components/call/explain.py
@@ -9,6 +9,7 @@
 REASON_NO_SHARE: typing.Final = 'no_share'
 REASON_STATE: typing.Final = 'not_serving'
 REASON_AVOIDED: typing.Final = 'failed_lately'
+REASON_FAULTY: typing.Final = 'fails_often'
 REASON_NO_SPARE: typing.Final = 'no_spare_slot'
 REASON_OWN: typing.Final = 'own_datacentre'
 REASON_OTHER: typing.Final = 'other_datacentre'
@@ -99,7 +100,7 @@
         row.version,
         row.node.datacentre,
         target.latency_ms,
-        target.estimate_spare(),
+        target.estimate_spare(now),
         _find_reason(pool, target, now),
     )
 
@@ -115,7 +116,8 @@
         (row.version not in dict(pool.shares), REASON_NO_SHARE),
         (row.state not in targets.OPEN_STATES, REASON_STATE),
         (now < target.avoid_until, REASON_AVOIDED),
-        (target.estimate_spare() <= 0, REASON_NO_SPARE),
+        (target.faults.is_high(now), REASON_FAULTY),
+        (target.estimate_spare(now) <= 0, REASON_NO_SPARE),
         (target.latency_ms == 0, REASON_OWN),
     )
     for holds, reason in checks:
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -320,7 +320,7 @@
                 'attempt_ms': now - self._sent_at,
                 'call_ms': now - self._attempts.began_at,
                 'left_ms': self._attempts.deadline_at - now,
-                'spare': target.estimate_spare(),
+                'spare': target.estimate_spare(now),
                 'generation': announced.generation,
             },
         )
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -31,6 +31,7 @@
         'faults',
         '_known_in_flight',
         '_spare',
+        '_spare_at',
         '_spare_until',
         '_unreached_ms',
     )
@@ -39,6 +40,7 @@
         self,
         announcement: membership.Announcement,
         latency_ms: int,
+        now: int = 0,
     ) -> None:
         self.announcement = announcement
         self.latency_ms = latency_ms
@@ -47,6 +49,7 @@
         self.faults = faults.FaultShare()
         self._known_in_flight = 0
         self._spare = announcement.spare
+        self._spare_at = now
         self._spare_until = 0
         self._unreached_ms = 0
 
@@ -61,13 +64,11 @@
             self.faults = faults.FaultShare()
         self.announcement = announcement
         if now >= self._spare_until:
-            self._spare = announcement.spare
-            self._known_in_flight = self.in_flight
+            self._note_spare(announcement.spare, now)
 
     def note_spare(self, spare: int, now: int) -> None:
         """Take the spare slots that came with an answer."""
-        self._spare = spare
-        self._known_in_flight = self.in_flight
+        self._note_spare(spare, now)
         self._spare_until = now + const.SPARE_LIFETIME_MS
 
     def note_reached(self) -> None:
@@ -82,10 +83,22 @@
         )
         self.avoid_until = now + self._unreached_ms
 
-    def estimate_spare(self) -> int:
-        """Return the known spare slots less own attempts since then."""
+    def estimate_spare(self, now: int) -> int:
+        """Return the known spare slots less own attempts since then.
+
+        A target that was full a while ago may have a slot again: one attempt
+        at a time finds out. Announcements of load are seconds apart.
+        """
+        spare = self._spare
+        if now - self._spare_at >= const.FULL_LIFETIME_MS:
+            spare = max(spare, 1)
         started = self.in_flight - self._known_in_flight
-        return min(self._spare - started, self.announcement.slots)
+        return min(spare - started, self.announcement.slots)
+
+    def _note_spare(self, spare: int, now: int) -> None:
+        self._spare = spare
+        self._spare_at = now
+        self._known_in_flight = self.in_flight
 
 
 class Group:
@@ -133,7 +146,7 @@
 ) -> bool:
     """Tell whether a target seems able to take an attempt."""
     return (
-        target.estimate_spare() > 0
+        target.estimate_spare(now) > 0
         and now >= target.avoid_until
         and target.announcement.node.name not in tried
     )
@@ -161,7 +174,7 @@
         target.announcement.node.name not in tried,
         now >= target.avoid_until,
         not target.faults.is_high(now),
-        target.estimate_spare(),
+        target.estimate_spare(now),
         -target.in_flight,
     )
 
@@ -259,6 +272,7 @@
             self._targets[announcement.node.name] = Target(
                 announcement,
                 estimate_latency_ms(self._own, announcement.node),
+                now,
             )
             return True
         previous = target.announcement
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -13,7 +13,7 @@
 def test_load_without_a_new_announcement_counts():
     made = build.build_caller(build.build_row('a', spare=5))
     build.announce(made, build.build_row('a', spare=1))
-    assert list_target(made).estimate_spare() == 1
+    assert list_target(made).estimate_spare(0) == 1
 
 
 def test_node_that_announces_anew_is_chosen_again_at_once():
@@ -32,7 +32,7 @@
     plan.start(0)
     plan.resume(calls.Result('answered', '', 200, spare=2), 10)
     build.announce(made, build.build_row('a', spare=9))
-    assert list_target(made).estimate_spare() == 2
+    assert list_target(made).estimate_spare(0) == 2
 
 
 def test_own_gate_is_asked_and_goes_before_what_was_announced():
@@ -47,7 +47,7 @@
     spare = 3
     again = made.plan(calls.Request('GET', '/'))
     assert isinstance(again.start(0), calls.Enter)
-    assert again._target.estimate_spare() == 2
+    assert again._target.estimate_spare(0) == 2
 
 
 def test_no_more_slots_are_believed_in_than_there_are():
@@ -56,7 +56,7 @@
     plan.start(0)
     build.announce(made, build.build_row('a', spare=10, generation=2))
     plan.resume(calls.Result('answered', '', 200), 1)
-    assert list_target(made).estimate_spare() == 10
+    assert list_target(made).estimate_spare(0) == 10
 
 
 def test_node_that_does_not_answer_in_time_is_avoided_for_a_while():
@@ -121,3 +121,18 @@
     full = calls.Result(calls.OUTCOME_REFUSED, 'slots_full')
     end_calls(made, 20, full)
     assert find_chosen(made, 100) == 'near'
+
+
+def test_target_that_was_full_is_tried_again_before_its_load_is_announced():
+    made = build.build_caller(
+        build.build_row('near'), build.build_row('far', 'd2', 'r2')
+    )
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    plan.resume(calls.Result(calls.OUTCOME_ANSWERED, '', 200, spare=0), 10)
+    assert find_chosen(made, 50) == 'far'
+    trial = made.plan(calls.Request('GET', '/'))
+    trial.start(120)
+    assert trial._target.announcement.node.name == 'near'
+    # One attempt at a time finds out.
+    assert find_chosen(made, 120) == 'far'
