Let a call without room go on to a target that has some

Cause: a call that waited a quarter of its aim at full gates was refused even if another target had a free slot; one wait at a gate, 50 ms, takes most of a quarter of a short aim. Change: it is refused only if no target in reach seems to have room.

--- a/shallotwharf/components/call/attempts.py
+++ b/shallotwharf/components/call/attempts.py
@@ -47,21 +47,24 @@
         row: route.Route,
         result: calls.Result,
         now: int,
-        ran_twice: bool,
+        is_full: bool,
     ) -> str:
         """Return why no retry is allowed; empty if one is.
 
-        A request that ended two upstreams is not shown to a third.
+        Args:
+            pool: of the call.
+            row: route of the call.
+            result: how the last attempt ended.
+            now: clock milliseconds.
+            is_full: whether no target seems to have a free slot.
         """
-        if ran_twice:
-            return const.DENIED_RAN_TWICE
         is_free = (
             not result.reached and self._free < pool.budget.limits.free_refusals
         )
         self._free += int(is_free)
         if self.sent - self._free > row.retries:
             return const.DENIED_LIMIT
-        if result.reason in const.FULL_REASONS and self._is_held(row, now):
+        if is_full and self._is_held(row, now):
             return const.DENIED_HELD
         if self.is_too_late(const.HOP_CUT_MS, now):
             return const.DENIED_DEADLINE
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -108,11 +108,11 @@
         if not rule.retry or reason in const.FINAL_REASONS:
             self._report('call_ended', now, target, reason)
             return self._respond(rule.status, reason)
-        denied = self._find_denial(
-            result,
-            now,
-            not rule.not_run and ran_before,
-        )
+        # A request that ended two upstreams is not shown to a third.
+        if ran_before and not rule.not_run:
+            denied = const.DENIED_RAN_TWICE
+        else:
+            denied = self._find_denial(result, now)
         if denied:
             self._context.count(f'{const.COUNTER_RETRY_DENIED}{denied}')
             self._report('call_not_retried', now, target, f'{reason}/{denied}')
@@ -173,12 +173,7 @@
                 now,
             )
 
-    def _find_denial(
-        self,
-        result: calls.Result,
-        now: int,
-        ran_twice: bool,
-    ) -> str:
+    def _find_denial(self, result: calls.Result, now: int) -> str:
         """Return why no retry is allowed; empty if one is."""
         if self._request.retried:
             return const.DENIED_DEEPER
@@ -187,7 +182,22 @@
             self._read_entry().row,
             result,
             now,
-            ran_twice,
+            result.reason in const.FULL_REASONS and self._is_full(now),
+        )
+
+    def _is_full(self, now: int) -> bool:
+        return not any(
+            targets.has_room(target, self._tried, now)
+            for group in self._find_groups(self._version)
+            for target in group.targets
+        )
+
+    def _find_groups(self, version: str) -> list[targets.Group]:
+        """Return the groups of a version that the route may use."""
+        known = self._context
+        return known.sizes.limit_reach(
+            self._read_entry().row.name,
+            chooser.find_groups(self._read_pool(), known.directory, version),
         )
 
     def _choose(self, now: int) -> calls.Step:
@@ -198,10 +208,7 @@
         target = None
         if version is not None:
             target = chooser.choose_target(
-                known.sizes.limit_reach(
-                    self._read_entry().row.name,
-                    chooser.find_groups(pool, known.directory, version),
-                ),
+                self._find_groups(version),
                 self._tried,
                 known.random,
                 now,
@@ -281,7 +288,7 @@
             return calls.Relay()
         # Another run takes about as long as this one did.
         in_time = now - self._sent_at < self._attempts.deadline_at - now
-        if not in_time or self._find_denial(result, now, ran_twice=False):
+        if not in_time or self._find_denial(result, now):
             return calls.Relay()
         self._context.count(f'{const.COUNTER_RETRIED}status_{result.status}')
         return self._choose(now)
