Refuse at once what would wait too long at a gate

Cause: up to 16 attempts waited at a gate for 50 ms each, though only about five could get a slot in that time; the others were refused after 50 ms that they could have used elsewhere, or that their callers were charged for. Change: the gate compares its queue, times the mean run time by the slots, with the longest wait, and refuses at once what exceeds it.

--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -40,3 +40,6 @@
 OWN_EVIDENCE_MS: typing.Final = 2000
 # Weight of one answer in the estimate of the shortest run time.
 RUN_TIME_WEIGHT: typing.Final = 0.02
+# Weight of one answer in the mean run time: about the last second of a loaded
+# upstream with ten slots counts.
+MEAN_TIME_WEIGHT: typing.Final = 0.02
--- a/shallotwharf/components/upstream/evidence.py
+++ b/shallotwharf/components/upstream/evidence.py
@@ -28,6 +28,7 @@
         """Forget what an earlier instance of the upstream showed."""
         self.health = health.Health()
         self.running.shortest_ms = 0
+        self.running.mean_ms = 0
 
     def begin(self, attempt: str, request: calls.Request, now: int) -> None:
         """Note a request that was admitted."""
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -254,6 +254,11 @@
         request: calls.Request,
         now: int,
     ) -> calls.Admission:
+        slots = max(self._offer.count(now), 1)
+        period_ms = self._evidence.running.mean_ms / slots
+        wait_ms = self._queue.estimate_wait(step.rank, period_ms)
+        if wait_ms > self._limits.queue_wait_ms:
+            return self._refuse(const.REASON_QUEUE_FULL)
         limits = (
             (int(step.deadline_at - self._evidence.running.shortest_ms), True),
             (step.start_by, True),
--- a/shallotwharf/components/upstream/queue.py
+++ b/shallotwharf/components/upstream/queue.py
@@ -53,6 +53,20 @@
             for entry in waiting
         )
 
+    def estimate_wait(self, rank: int, period_ms: float) -> float:
+        """Return the milliseconds until a new entry of a rank is first.
+
+        Args:
+            rank: of the new entry.
+            period_ms: mean time between two entries that leave.
+        """
+        before = sum(
+            len(waiting)
+            for other, waiting in self._ranks.items()
+            if other <= rank
+        )
+        return (before + 1) * period_ms
+
     def push(self, entry: Entry) -> Entry | None:
         """Add an entry; return the one that has no place, if any.
 
--- a/shallotwharf/components/upstream/running.py
+++ b/shallotwharf/components/upstream/running.py
@@ -14,12 +14,18 @@
 
 
 class RunningRequests:
-    """Requests by attempt, and the shortest time that one took lately."""
+    """Requests by attempt, and the time that those before took.
 
-    __slots__ = ('shortest_ms', '_running')
+    Attributes:
+        shortest_ms: the shortest time that one took lately.
+        mean_ms: the mean of them.
+    """
+
+    __slots__ = ('shortest_ms', 'mean_ms', '_running')
 
     def __init__(self) -> None:
         self.shortest_ms: float = 0
+        self.mean_ms: float = 0
         self._running: dict[str, _Running] = {}
 
     def __len__(self) -> int:
@@ -41,8 +47,9 @@
         self._running.pop(attempt)
 
     def note_answer(self, attempt: str, now: int) -> None:
-        """Adjust the shortest run time; slower answers raise it slowly."""
+        """Adjust the run times; slower answers raise the shortest slowly."""
         duration_ms = now - self._running[attempt].started_at
+        self.mean_ms += (duration_ms - self.mean_ms) * const.MEAN_TIME_WEIGHT
         weight = const.RUN_TIME_WEIGHT if duration_ms > self.shortest_ms else 1
         self.shortest_ms += (duration_ms - self.shortest_ms) * weight
 
--- a/tests/components/upstream/test_gate.py
+++ b/tests/components/upstream/test_gate.py
@@ -334,3 +334,20 @@
     assert 1 <= len(published) <= 11
     generations = [row.generation for row in published]
     assert generations == sorted(set(generations))
+
+
+def test_attempt_that_would_wait_too_long_is_refused_at_once():
+    """Fails if a call waits in vain while another target has a free slot."""
+    made = start_gate(queue_limit=16, queue_wait_ms=50)
+    for number in range(200):
+        attempt = f'early{number}'
+        made.enter(make_step(attempt), make_request(attempt), number * 90)
+        answered = calls.Result(calls.OUTCOME_ANSWERED, '', 200)
+        made.leave(attempt, answered, number * 90 + 90)
+    for number in range(SLOTS):
+        enter(made, f'long{number}')
+    # A slot gets free about every 30 ms.
+    assert enter(made, 'first') == calls.Queued()
+    assert enter(made, 'second') == calls.Refused(const.REASON_QUEUE_FULL)
+    # One of a lower rank goes before the first.
+    assert enter(made, 'urgent', rank=-1) == calls.Queued()
