Let the old version keep calls until shortly before a move ends

Change: a move of seconds goes 5%, 20%, 50%, 80% and is full from 74% of its period instead of 65%. Ruled out: no judgement at the full share, since a version that turns bad there would stay.

--- a/shallotwharf/components/move/pace.py
+++ b/shallotwharf/components/move/pace.py
@@ -123,12 +123,15 @@
         return max(done_at, position.since + self.full_ms)
 
 
-# Parts of the period, and the share from then on.
+# Parts of the period, and the share from then on. The old version keeps a
+# fifth of the calls until shortly before the end: without them a fault that
+# hits both versions would speak against the new one.
 _STEPS: typing.Final = (
     (0, const.FIRST_SHARE),
     (0.45, tables_const.FULL_SHARE // 5),
     (0.55, tables_const.FULL_SHARE // 2),
-    (0.65, tables_const.FULL_SHARE),
+    (0.65, tables_const.FULL_SHARE * 4 // 5),
+    (0.74, tables_const.FULL_SHARE),
 )
 _DONE_PART: typing.Final = 0.85
 
--- a/tests/components/move/test_pace.py
+++ b/tests/components/move/test_pace.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from shallotwharf.components.move import pace, schedule
+from shallotwharf.components.move import (
+    const,
+    evidence,
+    pace,
+    schedule,
+    verdict,
+)
 from shallotwharf.components.tables import version
 
 PERIOD_MS = 12_000
@@ -32,7 +38,7 @@
 @pytest.mark.parametrize('period_ms', [12_000, 15_000, 60_000])
 def test_move_is_done_within_its_period(period_ms):
     taken, done = run(period_ms)
-    assert [share for _, share in taken] == [500, 2000, 5000, 10_000]
+    assert [share for _, share in taken] == [500, 2000, 5000, 8000, 10_000]
     assert taken[-1][0] < done <= 0.9
 
 
@@ -41,6 +47,38 @@
     assert taken[0] == (0, 500) and taken[1][0] >= 0.45
 
 
+def find_share(taken, part):
+    return [share for begins, share in taken if begins <= part][-1]
+
+
+def test_fault_of_a_dependency_late_in_a_move_takes_nothing_back():
+    """Fails if the old version gets no calls that show the same fault."""
+    period_ms = 16_000
+    taken, _ = run(period_ms)
+    trial = verdict.Trial(1, build_pace(period_ms))
+    for now in range(0, 11_600, const.SLICE_MS):
+        share = find_share(taken, now / period_ms)
+        new_calls = 100 * share // 10_000
+        failed = 0 if now < 10_500 else 2
+        trial.update(
+            [
+                evidence.Row(
+                    evidence.OVERALL,
+                    build_counts(100 - new_calls, failed),
+                    build_counts(new_calls, failed),
+                )
+            ],
+            share,
+            now,
+        )
+    assert not trial.fault
+
+
+def build_counts(calls, failed_part):
+    errors = calls // failed_part if failed_part else 0
+    return evidence.Counts(calls, errors, 0, 0)
+
+
 def test_late_step_moves_those_that_follow():
     late = build_position(500, 1000 + PERIOD_MS)
     first = build_pace().plan_steps(late)[0]
