Remember the last calls of the old version once the share is full

The windows of the old version's rate count by calls, so that the few calls at a fifth of the share, which showed the fault of a service that both call, weighed less than the many before it, and the shortest window was empty. Change: the last ten calls or more of the old version hold for 4 s after the last one. The full share lasts 2 s instead of 2.6 s before the move is done.

--- a/shallotwharf/components/move/pace.py
+++ b/shallotwharf/components/move/pace.py
@@ -92,7 +92,8 @@
     slices_per_summary = 1
     settle_ms = clock.SECOND_MS
     retry_ms = clock.SECOND_MS
-    full_ms = clock.SECOND_MS
+    # Twice this, and the ticks, leave the last calls of the old version 2 s.
+    full_ms = 700
     tick_ms = const.SLICE_MS
 
     def __init__(self, begun_at: int, period_ms: int) -> None:
--- a/shallotwharf/components/move/reference.py
+++ b/shallotwharf/components/move/reference.py
@@ -22,6 +22,10 @@
 _MAX_RATE: typing.Final = 0.9
 # Calls of the old version from which its rates are known.
 _KNOWN_CALLS: typing.Final = 20
+# Its last calls count in groups of this many at least, for 4 s after the last
+# one: a move within seconds ends 2 s after that.
+_SETTLED_CALLS: typing.Final = 10
+_SILENT_SLICES: typing.Final = 8
 
 
 class Kind(records.Record):
@@ -90,6 +94,38 @@
         ]
 
 
+class LastCalls:
+    """The last calls of the old version, for a while after they end.
+
+    Once the share is full they are all that tells of a fault that hits both
+    versions. Slices are collected until there are enough calls, so that a
+    single one that ends late says little.
+    """
+
+    __slots__ = ('_settled', '_pending', '_silent')
+
+    def __init__(self) -> None:
+        self._settled = evidence.EMPTY_COUNTS
+        self._pending = evidence.EMPTY_COUNTS
+        self._silent = 0
+
+    def learn(self, counts: evidence.Counts) -> None:
+        """Add the counts of one slice."""
+        self._silent = 0 if counts.calls else self._silent + 1
+        if self._silent > _SILENT_SLICES:
+            self._settled = evidence.EMPTY_COUNTS
+            self._pending = evidence.EMPTY_COUNTS
+        self._pending = self._pending.add(counts)
+        if self._pending.calls >= _SETTLED_CALLS:
+            self._settled = self._pending
+            self._pending = evidence.EMPTY_COUNTS
+
+    def read_rate(self, number: int) -> float:
+        """Return the rate of a kind of failure."""
+        known = self._settled.add(self._pending)
+        return known.read_failures()[number] / (known.calls + 1)
+
+
 class Reference:
     """Rates of the old version: in the long run and now.
 
@@ -97,16 +133,18 @@
     does not speak against the new one.
     """
 
-    __slots__ = ('long_run', '_recent')
+    __slots__ = ('long_run', '_recent', '_last')
 
     def __init__(self) -> None:
         self.long_run = evidence.EMPTY_COUNTS
         self._recent = tuple(Fading(fade) for fade in _FADES)
+        self._last = LastCalls()
 
     def learn(self, counts: evidence.Counts) -> None:
         """Add the counts of one slice."""
         for recent in self._recent:
             recent.learn(counts)
+        self._last.learn(counts)
         self.learn_history(counts)
 
     def learn_history(self, counts: evidence.Counts) -> None:
@@ -135,6 +173,7 @@
             recent.failures[number] / (recent.calls + 1)
             for recent in self._recent
         )
+        present = max(present, self._last.read_rate(number))
         if self.long_run.calls < _KNOWN_CALLS:
             upper = min(upper, KINDS[number].unknown_rate / _TOLERANCE)
         allowed = _TOLERANCE * max(upper, present)
