Compute the canonical form of a row once

Change: rows keep their canonical form, versions their digest; a new version takes the equal rows of the one before. The digests stay the same.

--- a/shallotwharf/components/tables/difference.py
+++ b/shallotwharf/components/tables/difference.py
@@ -2,6 +2,7 @@
 
 import types
 import typing
+from collections import abc
 
 from shallotwharf.components.tables import pool, route, version
 from shallotwharf.core import errors, records
@@ -72,11 +73,18 @@
     changed = {
         key: entry for key, entry in after.items() if before.get(key) != entry
     }
+    # Equal rows of the base are taken, whose canonical form is known.
+    kept = {key: before[key] for key in after if key not in changed}
+    shared = _build_version(
+        target.number,
+        target.tables.revision,
+        {**kept, **changed},
+    )
     return Difference(
         base.number,
         base.compute_digest(),
         target.number,
-        target.compute_digest(),
+        shared.compute_digest(),
         _select(changed, route.Route),
         _select(changed, pool.Pool),
         _select(changed, version.Move),
@@ -111,22 +119,30 @@
         *change.holders,
     ):
         entries[_format_key(entry)] = entry
-    target = version.Version(
-        change.number,
+    target = _build_version(change.number, change.revision, entries)
+    if target.compute_digest() != change.digest:
+        raise errors.ProtocolError(
+            f'digest of version {change.number} does not match',
+            _STEP,
+        )
+    return target
+
+
+def _build_version(
+    number: int,
+    revision: int,
+    entries: abc.Mapping[str, records.Record],
+) -> version.Version:
+    return version.Version(
+        number,
         version.Tables(
             _select(entries, route.Route),
             _select(entries, pool.Pool),
-            change.revision,
+            revision,
         ),
         _select(entries, version.Move),
         _select(entries, version.HolderGroup),
     )
-    if target.compute_digest() != change.digest:
-        raise errors.ProtocolError(
-            f'digest of version {change.number} does not match',
-            _STEP,
-        )
-    return target
 
 
 def _list_entries(source: version.Version) -> dict[str, records.Record]:
@@ -145,7 +161,7 @@
 
 
 def _select(
-    entries: dict[str, records.Record],
+    entries: abc.Mapping[str, records.Record],
     entry_type: type[EntryT],
 ) -> tuple[EntryT, ...]:
     return tuple(
--- a/shallotwharf/components/tables/pool.py
+++ b/shallotwharf/components/tables/pool.py
@@ -3,7 +3,7 @@
 from collections import abc
 
 from shallotwharf.components.tables import const
-from shallotwharf.core import records
+from shallotwharf.core import digest, records
 
 
 class MoveDeclaration(records.Record):
@@ -22,7 +22,7 @@
         self.due_at = due_at
 
 
-class Pool(records.Record):
+class Pool(digest.SharedRecord):
     """The upstreams behind a name: a service at given versions.
 
     Attributes:
--- a/shallotwharf/components/tables/route.py
+++ b/shallotwharf/components/tables/route.py
@@ -3,13 +3,13 @@
 from collections import abc
 
 from shallotwharf.components.tables import const
-from shallotwharf.core import records
+from shallotwharf.core import digest
 
 # Few different sets are in use; each is kept once however often it is decoded.
 _sets: dict[tuple[str, ...], tuple[str, ...]] = {}
 
 
-class Route(records.Record):
+class Route(digest.SharedRecord):
     """Which pool serves a request, and how.
 
     Attributes:
--- a/shallotwharf/components/tables/version.py
+++ b/shallotwharf/components/tables/version.py
@@ -142,7 +142,7 @@
         holders: holder groups, ordered by name.
     """
 
-    __slots__ = ('number', 'tables', 'moves', 'holders')
+    __slots__ = ('number', 'tables', 'moves', 'holders', '_digest')
 
     def __init__(
         self,
@@ -158,7 +158,11 @@
 
     def compute_digest(self) -> bytes:
         """Return the SHA-256 digest of the whole version, 32 bytes."""
-        return digest.compute_digest(self)
+        known: bytes | None = getattr(self, '_digest', None)
+        if known is None:
+            known = digest.compute_digest(self)
+            self._digest = known
+        return known
 
     def find_pool(self, name: str) -> pool.Pool | None:
         """Return the pool of a name."""
--- a/shallotwharf/core/digest.py
+++ b/shallotwharf/core/digest.py
@@ -10,22 +10,52 @@
 _SCALARS: typing.Final = frozenset((str, int, bool, type(None)))
 
 
+class SharedRecord(records.Record):
+    """A record that many values share; its canonical form is kept.
+
+    A version has hundreds of rows, and most of them are those of the version
+    before: a control process that starts applies dozens of versions.
+    """
+
+    __slots__ = ('_canonical',)
+
+    def read_canonical(self) -> str:
+        """Return its canonical JSON."""
+        known: str | None = getattr(self, '_canonical', None)
+        if known is None:
+            known = _dump(_list_fields(self))
+            self._canonical = known
+        return known
+
+
 def compute_digest(*parts: records.Record | int | str) -> bytes:
     """Return the SHA-256 digest of values in canonical JSON, 32 bytes."""
-    canonical = json.dumps(
-        [_flatten(part) for part in parts],
-        separators=(',', ':'),
-        sort_keys=True,
-    )
-    return hashlib.sha256(canonical.encode()).digest()
+    return hashlib.sha256(_render(parts).encode()).digest()
+
+
+def _render(part: typing.Any) -> str:
+    if isinstance(part, SharedRecord):
+        return part.read_canonical()
+    if isinstance(part, records.Record):
+        return _render(part.read_fields())
+    if isinstance(part, tuple):
+        return f'[{",".join(map(_render, part))}]'
+    return _dump(_flatten(part))
+
+
+def _dump(part: typing.Any) -> str:
+    return json.dumps(part, separators=(',', ':'), sort_keys=True)
+
+
+def _list_fields(record: records.Record) -> list[typing.Any]:
+    return [_flatten(field) for field in record.read_fields()]
 
 
 def _flatten(part: typing.Any) -> typing.Any:
-    # Most values are scalars; a version has thousands of them.
     if type(part) in _SCALARS:
         return part
     if isinstance(part, records.Record):
-        return [_flatten(field) for field in part.read_fields()]
+        return _list_fields(part)
     if isinstance(part, tuple):
         return [_flatten(field) for field in part]
     if isinstance(part, abc.Mapping):
--- a/shallotwharf/core/records.py
+++ b/shallotwharf/core/records.py
@@ -6,12 +6,17 @@
 
 
 def list_fields(record_type: type) -> tuple[str, ...]:
-    """Return the names of all slots of a class, base classes first."""
+    """Return the names of the slots of a class, base classes first.
+
+    Those that begin with an underscore hold what was computed from the
+    others and are no part of the value.
+    """
     known = _fields.get(record_type)
     if known is None:
         names: list[str] = []
         for parent in reversed(record_type.__mro__):
-            names.extend(parent.__dict__.get('__slots__', ()))
+            slots = parent.__dict__.get('__slots__', ())
+            names.extend(name for name in slots if not name.startswith('_'))
         known = tuple(names)
         _fields[record_type] = known
     return known
