--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for an attempt."""
 
+import itertools
 import random
 from collections import abc
 
@@ -52,36 +53,38 @@
     Targets that fail often come after all others with room. Among data
     centres of equal latency the one with more spare slots wins.
     """
-    picked = [group.pick(source, tried, now) for group in groups]
-    open_ones = [
-        target for target in picked if targets.has_room(target, tried, now)
-    ]
-    sound = [target for target in open_ones if not target.faults.is_high(now)]
-    return _find_nearest(sound or open_ones, now) or _find_untried(
-        picked, tried
-    )
-
-
-def _find_nearest(
-    candidates: list[targets.Target],
-    now: int,
-) -> targets.Target | None:
-    """Return the one with most spare slots of those that are nearest."""
-    return max(
-        candidates,
-        key=lambda target: (-target.latency_ms, target.estimate_spare(now)),
-        default=None,
-    )
+    faulty: list[targets.Target] = []
+    for _, near in itertools.groupby(groups, key=_read_latency):
+        picked = [group.pick(source, tried, now) for group in near]
+        with_room = [
+            target for target in picked if targets.has_room(target, tried, now)
+        ]
+        sound = [
+            target for target in with_room if not target.faults.is_high(now)
+        ]
+        if sound:
+            return targets.find_best(sound, tried, now)
+        faulty.extend(with_room)
+    if faulty:
+        return faulty[0]
+    return _find_untried(groups, tried, source, now)
 
 
 def _find_untried(
-    picked: list[targets.Target],
+    groups: list[targets.Group],
     tried: abc.Container[str],
+    source: random.Random,
+    now: int,
 ) -> targets.Target | None:
     """Return a target where nothing has room, one not yet tried if any."""
+    picked = [group.pick(source, tried, now) for group in groups]
     untried = (
         target
         for target in picked
         if target.announcement.node.name not in tried
     )
     return next(untried, picked[0] if picked else None)
+
+
+def _read_latency(group: targets.Group) -> int:
+    return group.latency_ms
