Count sent bytes by message and distance; compress large messages

Change: hellos carry data centre and region, so that sent bytes are counted by message and distance. A process announces in its hello that it reads compressed frames and the accepting side answers with its own hello; messages of 512 bytes and more are then sent as zlib streams. Peers of an earlier release neither get an answer nor compressed frames.

--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -3,7 +3,8 @@
 `set_address` sets the address of a peer. Sending to a peer without a
 connection opens one and queues messages meanwhile. Messages that exceed the
 queue or are lost with a connection are dropped, because the aggregates resend
-what they need. Pings detect an unresponsive peer.
+what they need. Pings detect an unresponsive peer. Large messages are
+compressed for peers that announced in their hello that they read such frames.
 """
 
 import asyncio
@@ -14,8 +15,15 @@
 from websockets import exceptions
 from websockets.asyncio import client, connection, server
 
-from shallotwharf.adapters import codec
-from shallotwharf.core import counters, errors, logs, messages, ports
+from shallotwharf.adapters import codec, link_frames, link_peers, traffic
+from shallotwharf.core import (
+    counters,
+    errors,
+    locations,
+    logs,
+    messages,
+    ports,
+)
 
 PROTOCOL: typing.Final = 1
 QUEUE_LIMIT: typing.Final = 512
@@ -32,43 +40,19 @@
 Deliver: typing.TypeAlias = abc.Callable[[messages.Message, str], None]
 
 
-@messages.register('link.hello')
-class Hello(messages.Message):
-    """First message on each connection, identifying the sender.
+class WebsocketLinks(ports.Links):
+    """WebSocket connections of one process.
 
-    Attributes:
+    Args:
         name: name of the process.
-        host: IP address that it listens on.
-        port: port that it listens on.
-        protocol: version of the protocol between processes.
+        location: where it runs and listens.
+        process_counters: counters of the process.
     """
 
-    __slots__ = ('name', 'host', 'port', 'protocol')
-
-    def __init__(self, name: str, host: str, port: int, protocol: int) -> None:
-        self.name = name
-        self.host = host
-        self.port = port
-        self.protocol = protocol
-
-
-class _Peer:
-    __slots__ = ('address', 'queue', 'connections', 'task', 'wakeup')
-
-    def __init__(self) -> None:
-        self.address: tuple[str, int] | None = None
-        self.queue: list[bytes] = []
-        self.connections: list[connection.Connection] = []
-        self.task: asyncio.Task[None] | None = None
-        self.wakeup = asyncio.Event()
-
-
-class WebsocketLinks(ports.Links):
-    """WebSocket connections of one process."""
-
     __slots__ = (
         '_hello',
         '_counters',
+        '_traffic',
         '_deliver',
         '_peers',
         '_server',
@@ -78,14 +62,22 @@
     def __init__(
         self,
         name: str,
-        host: str,
-        port: int,
+        location: locations.Location,
         process_counters: counters.Counters,
     ) -> None:
-        self._hello = Hello(name, host, port, PROTOCOL)
+        self._hello = link_peers.Hello(
+            name,
+            location.host,
+            location.link_port,
+            PROTOCOL,
+            location.datacentre,
+            location.region,
+            reads_compressed=True,
+        )
         self._counters = process_counters
+        self._traffic = traffic.Traffic(location, process_counters)
         self._deliver: Deliver | None = None
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, link_peers.Peer] = {}
         self._server: server.Server | None = None
         self._closing = False
 
@@ -130,7 +122,7 @@
             if peer.task is not None:
                 peer.task.cancel()
             closing.extend(
-                asyncio.ensure_future(opened.close())
+                asyncio.ensure_future(opened.socket.close())
                 for opened in peer.connections
             )
         if closing:
@@ -149,7 +141,7 @@
         except errors.ProtocolError as error:
             logs.warn('message_too_large', peer=peer, error=error)
             return False
-        target.queue.append(encoded)
+        target.queue.append(link_peers.Queued(message.tag, encoded))
         target.wakeup.set()
         if target.task is None:
             target.task = asyncio.get_running_loop().create_task(
@@ -157,14 +149,14 @@
             )
         return True
 
-    def _find_peer(self, name: str) -> _Peer:
+    def _find_peer(self, name: str) -> link_peers.Peer:
         peer = self._peers.get(name)
         if peer is None:
-            peer = _Peer()
+            peer = link_peers.Peer()
             self._peers[name] = peer
         return peer
 
-    async def _async_write(self, name: str, peer: _Peer) -> None:
+    async def _async_write(self, name: str, peer: link_peers.Peer) -> None:
         """Send the queued messages of a peer, reconnecting as needed."""
         while not self._closing:
             await peer.wakeup.wait()
@@ -174,24 +166,28 @@
                 continue
             await self._async_flush(peer)
 
-    async def _async_flush(self, peer: _Peer) -> None:
+    async def _async_flush(self, peer: link_peers.Peer) -> None:
         while peer.queue and peer.connections:
-            encoded = peer.queue.pop(0)
-            self._counters.add('links.bytes_sent', len(encoded))
+            queued = peer.queue.pop(0)
+            opened = peer.connections[-1]
+            frame = queued.encoded
+            if opened.reads_compressed:
+                frame = link_frames.pack(frame)
+            self._traffic.record(queued.tag, len(frame), peer.location)
             try:
-                await peer.connections[-1].send(encoded)
+                await opened.socket.send(frame)
             except exceptions.ConnectionClosed:
                 self._counters.add('messages.dropped')
                 peer.connections.pop()
         if not peer.queue:
             peer.wakeup.clear()
 
-    def _drop_queue(self, peer: _Peer) -> None:
+    def _drop_queue(self, peer: link_peers.Peer) -> None:
         self._counters.add('messages.dropped', len(peer.queue))
         peer.queue.clear()
         peer.wakeup.clear()
 
-    async def _async_open(self, name: str, peer: _Peer) -> bool:
+    async def _async_open(self, name: str, peer: link_peers.Peer) -> bool:
         if peer.address is None:
             return False
         host, port = peer.address
@@ -209,9 +205,10 @@
         except (OSError, TimeoutError, exceptions.WebSocketException):
             self._counters.add('links.open_failed')
             return False
-        self._add_connection(name, peer, opened)
+        added = link_peers.Opened(opened)
+        self._add_connection(name, peer, added)
         asyncio.get_running_loop().create_task(
-            self._async_read(name, peer, opened),
+            self._async_read(name, peer, added),
         )
         return True
 
@@ -226,7 +223,10 @@
             self._counters.add('links.refused')
             logs.warn('link_refused', peer=peer_address, error=error)
             return
-        if not isinstance(hello, Hello) or hello.protocol != PROTOCOL:
+        if (
+            not isinstance(hello, link_peers.Hello)
+            or hello.protocol != PROTOCOL
+        ):
             self._counters.add('links.refused')
             logs.warn(
                 'link_refused',
@@ -236,16 +236,21 @@
             return
         peer = self._find_peer(hello.name)
         peer.address = (hello.host, hello.port)
-        self._add_connection(hello.name, peer, opened)
-        await self._async_read(hello.name, peer, opened)
+        peer.location = hello.read_location()
+        added = link_peers.Opened(opened)
+        if hello.reads_compressed:
+            added.reads_compressed = True
+            await opened.send(codec.encode(self._hello))
+        self._add_connection(hello.name, peer, added)
+        await self._async_read(hello.name, peer, added)
 
     def _add_connection(
         self,
         name: str,
-        peer: _Peer,
-        opened: connection.Connection,
+        peer: link_peers.Peer,
+        opened: link_peers.Opened,
     ) -> None:
-        _set_user_timeout(opened)
+        _set_user_timeout(opened.socket)
         peer.connections.append(opened)
         if len(peer.connections) == 1:
             self._deliver_message(messages.LinkUp(), name)
@@ -253,38 +258,49 @@
     async def _async_read(
         self,
         name: str,
-        peer: _Peer,
-        opened: connection.Connection,
+        peer: link_peers.Peer,
+        opened: link_peers.Opened,
     ) -> None:
         try:
-            async for encoded in opened:
-                self._receive(encoded, name)
+            async for frame in opened.socket:
+                self._receive(frame, name, opened)
         except (exceptions.ConnectionClosed, errors.ProtocolError) as error:
             logs.write('link_closed', peer=name, reason=error)
         finally:
             self._remove_connection(name, peer, opened)
-            await opened.close()
+            await opened.socket.close()
 
     def _remove_connection(
         self,
         name: str,
-        peer: _Peer,
-        opened: connection.Connection,
+        peer: link_peers.Peer,
+        opened: link_peers.Opened,
     ) -> None:
         if opened in peer.connections:
             peer.connections.remove(opened)
         if not peer.connections:
             self._deliver_message(messages.LinkDown(), name)
 
-    def _receive(self, encoded: str | bytes, name: str) -> None:
-        if isinstance(encoded, str):
+    def _receive(
+        self,
+        frame: str | bytes,
+        name: str,
+        opened: link_peers.Opened,
+    ) -> None:
+        if isinstance(frame, str):
             raise errors.ProtocolError(
                 'received a text frame, expected binary',
                 'links.receive',
                 name,
             )
-        self._counters.add('links.bytes_received', len(encoded))
-        self._deliver_message(codec.decode(encoded, name), name)
+        self._counters.add('links.bytes_received', len(frame))
+        encoded = link_frames.unpack(frame, codec.MAX_MESSAGE_BYTES, name)
+        message = codec.decode(encoded, name)
+        if isinstance(message, link_peers.Hello):
+            opened.reads_compressed = message.reads_compressed
+            self._find_peer(name).location = message.read_location()
+            return
+        self._deliver_message(message, name)
 
     def _deliver_message(self, message: messages.Message, name: str) -> None:
         if self._deliver is not None and not self._closing:
--- a/shallotwharf/roles/control/process.py
+++ b/shallotwharf/roles/control/process.py
@@ -35,8 +35,7 @@
         storage = disk.DiskStorage(self._folder, uuid.uuid4().hex)
         self._runtime = process.Runtime(
             local_peer.name,
-            local_peer.host,
-            local_peer.link_port,
+            local_peer.location,
             storage,
         )
         self._aggregates = _build_aggregates(settings, storage, self._runtime)
--- a/shallotwharf/roles/control/seeded.py
+++ b/shallotwharf/roles/control/seeded.py
@@ -65,8 +65,7 @@
         storage = disk.DiskStorage(self._folder, uuid.uuid4().hex)
         self._runtime = process.Runtime(
             settings.name,
-            settings.location.host,
-            settings.location.link_port,
+            settings.location,
             storage,
         )
         known_roster = operations.KnownRoster()
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -34,8 +34,7 @@
         self._settings = settings
         self._runtime = process.Runtime(
             settings.name,
-            settings.host,
-            settings.link_port,
+            settings.location,
         )
         self._aggregates = _build_aggregates(settings, self._runtime)
         self._services = _build_services(self._runtime, self._aggregates)
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -91,8 +91,7 @@
         self._is_stopping = False
         self._runtime = process.Runtime(
             settings.name,
-            settings.location.host,
-            settings.location.link_port,
+            settings.location,
         )
         self._build_aggregates()
         self._services = self._build_services(chosen_format)
--- a/shallotwharf/roles/process.py
+++ b/shallotwharf/roles/process.py
@@ -12,6 +12,7 @@
     clock,
     counters,
     dispatcher,
+    locations,
     logs,
     ports,
 )
@@ -34,8 +35,7 @@
     def __init__(
         self,
         name: str,
-        host: str,
-        link_port: int,
+        location: locations.Location,
         storage: ports.Storage | None = None,
     ) -> None:
         self.name = name
@@ -44,8 +44,7 @@
         self.counters = counters.Counters()
         self.links = links.WebsocketLinks(
             name,
-            host,
-            link_port,
+            location,
             self.counters,
         )
         self.timers = timers.LoopTimers(self.clock)
--- a/shallotwharf/roles/settings/model.py
+++ b/shallotwharf/roles/settings/model.py
@@ -1,6 +1,6 @@
 """Validated settings of the processes."""
 
-from shallotwharf.core import records
+from shallotwharf.core import locations, records
 
 
 class ControlPeer(records.Record):
@@ -31,6 +31,17 @@
         self.link_port = link_port
         self.admin_port = admin_port
 
+    @property
+    def location(self) -> locations.Location:
+        """Return where the process runs."""
+        return locations.Location(
+            self.datacentre,
+            self.region,
+            self.host,
+            self.link_port,
+            self.admin_port,
+        )
+
 
 class Seed(records.Record):
     """A node through which a starting node finds the members."""
@@ -129,6 +140,17 @@
         self.seeds = seeds
         self.log_level = log_level
 
+    @property
+    def location(self) -> locations.Location:
+        """Return where the process runs."""
+        return locations.Location(
+            self.datacentre,
+            self.region,
+            self.host,
+            self.link_port,
+            self.admin_port,
+        )
+
 
 class UpstreamSettings(records.Record):
     """Settings of a sample upstream in the `dev` mode."""
--- a/tests/adapters/test_links.py
+++ b/tests/adapters/test_links.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import socket
+import zlib
 
 import pytest
 from websockets.asyncio import client
 
-from shallotwharf.adapters import codec, links
+from shallotwharf.adapters import codec, link_frames, link_peers, links
 from shallotwharf.components.replica import messages as replica_messages
-from shallotwharf.core import counters, errors, messages
+from shallotwharf.core import counters, errors, locations, messages
 
 MESSAGE = replica_messages.NotLeader('a')
 
@@ -19,13 +20,18 @@
         return probe.getsockname()[1]
 
 
+def locate(port, datacentre='a'):
+    """Return the location of a process; data centres x* are in region x."""
+    return locations.Location(datacentre, datacentre[0], '127.0.0.1', port, 0)
+
+
 class Endpoint:
-    def __init__(self, name):
+    def __init__(self, name, datacentre='a'):
         self.port = find_port()
         self.received = asyncio.Queue()
         self.counters = counters.Counters()
         self.links = links.WebsocketLinks(
-            name, '127.0.0.1', self.port, self.counters
+            name, locate(self.port, datacentre), self.counters
         )
         self.links.connect(
             lambda message, sender: self.received.put_nowait((sender, message))
@@ -39,8 +45,8 @@
                     return sender, message
 
 
-async def async_start_pair():
-    left, right = Endpoint('left'), Endpoint('right')
+async def async_start_pair(datacentre='a'):
+    left, right = Endpoint('left'), Endpoint('right', datacentre)
     await left.links.async_listen()
     await right.links.async_listen()
     left.links.set_address('right', '127.0.0.1', right.port)
@@ -103,7 +109,7 @@
     async def async_check():
         left, right = await async_start_pair()
         taken = links.WebsocketLinks(
-            'other', '127.0.0.1', right.port, counters.Counters()
+            'other', locate(right.port), counters.Counters()
         )
         with pytest.raises(errors.LinkError) as caught:
             await taken.async_listen()
@@ -112,3 +118,94 @@
         await right.links.async_close()
 
     asyncio.run(async_check())
+
+
+LARGE = replica_messages.NotLeader('abcdefgh' * 4000)
+
+
+@pytest.mark.parametrize('sender', ['left', 'right'])
+def test_large_message_is_compressed_in_both_directions(sender):
+    """Guards against whole tables sent between regions uncompressed."""
+
+    async def async_check():
+        left, right = await async_start_pair()
+        ends = {'left': left, 'right': right}
+        left.links.send('right', MESSAGE)
+        await right.async_receive()
+        right.links.send('left', MESSAGE)
+        await left.async_receive()
+        source = ends.pop(sender)
+        (target_name,) = ends
+        before = source.counters.read('links.bytes_sent')
+        source.links.send(target_name, LARGE)
+        assert (await ends[target_name].async_receive())[1] == LARGE
+        sent = source.counters.read('links.bytes_sent') - before
+        assert 0 < sent < len(codec.encode(LARGE)) / 4
+        await left.links.async_close()
+        await right.links.async_close()
+
+    asyncio.run(async_check())
+
+
+def test_peer_of_an_earlier_release_gets_no_compressed_frame():
+    """Guards against frames that an earlier release cannot read."""
+
+    async def async_check():
+        left, right = await async_start_pair()
+        hello = codec.encode(link_peers.Hello('old', '127.0.0.1', 1, 1))
+        async with client.connect(f'ws://127.0.0.1:{right.port}') as peer:
+            await peer.send(hello)
+            await peer.send(codec.encode(MESSAGE))
+            await right.async_receive()
+            right.links.send('old', LARGE)
+            async with asyncio.timeout(5):
+                assert await peer.recv(decode=False) == codec.encode(LARGE)
+        await left.links.async_close()
+        await right.links.async_close()
+
+    asyncio.run(async_check())
+
+
+@pytest.mark.parametrize(
+    ('datacentre', 'distance'),
+    [('a', 'datacentre'), ('a2', 'region'), ('b', 'remote')],
+)
+def test_bytes_are_counted_by_message_and_distance(datacentre, distance):
+    """Guards against traffic between regions that no metric shows."""
+
+    async def async_check():
+        left, right = await async_start_pair(datacentre)
+        left.links.send('right', MESSAGE)
+        await right.async_receive()
+        right.links.send('left', MESSAGE)
+        await left.async_receive()
+        before = left.counters.read('links.bytes_sent')
+        left.links.send('right', MESSAGE)
+        await right.async_receive()
+        name = f'{distance}.{MESSAGE.tag}'
+        size = len(codec.encode(MESSAGE))
+        assert left.counters.read('links.bytes_sent') == before + size
+        assert left.counters.read(f'links.sent_bytes.{name}') == size
+        assert right.counters.read(f'links.sent_messages.{name}') == 1
+        await left.links.async_close()
+        await right.links.async_close()
+
+    asyncio.run(async_check())
+
+
+@pytest.mark.parametrize(
+    'damage',
+    [
+        lambda frame: frame[:-1],
+        lambda frame: frame[:20] + b'\x00' + frame[21:],
+        lambda frame: zlib.compress(bytes(2_000_000)),
+    ],
+    ids=['truncated', 'changed', 'too large'],
+)
+def test_damaged_compressed_frame_is_refused(damage):
+    """Guards against unbounded memory for a small frame, and wrong bytes."""
+    frame = link_frames.pack(codec.encode(LARGE))
+    assert link_frames.unpack(frame, 1_000_000, 'peer') == codec.encode(LARGE)
+    with pytest.raises(errors.ProtocolError) as caught:
+        link_frames.unpack(damage(frame), 1_000_000, 'peer')
+    assert caught.value.peer == 'peer'
