Contact members at once only if an answer names a new one

Cause: a node without a live peer sent its joins again as soon as control answered with members, also if these were the ones that had just not answered.

Change: an answer leads to a join at once only if it names a member that the last one did not. A node without peers repeats its joins after 200 ms, doubling up to 2 s. With live peers, only seeds of the own region are asked.

--- a/shallotwharf/components/membership/const.py
+++ b/shallotwharf/components/membership/const.py
@@ -62,6 +62,10 @@
 # Interval between attempts to reach seeds, and dead members that may have
 # returned.
 JOIN_PERIOD_MS: typing.Final = 2000
+# First interval while no peer is live; it doubles up to `JOIN_PERIOD_MS`. All
+# nodes of a data centre may start at once and learn of each other only from
+# the second attempt.
+SEARCH_PERIOD_MS: typing.Final = 200
 JOIN_TARGETS: typing.Final = 2
 FIRST_JOIN_TARGETS: typing.Final = 5
 # Members in one snapshot message: about 30 KB.
--- a/shallotwharf/components/membership/membership.py
+++ b/shallotwharf/components/membership/membership.py
@@ -280,7 +280,8 @@
         """Replace the control processes; contact them if no member is known."""
         names = message.roster.list_names()
         self._reporter.change_control(names)
-        self._syncer.change_seeds(names)
+        region = self._view.local.state.member.region
+        self._syncer.change_seeds(names, message.roster.list_near(region))
         if self._view.peers:
             return []
         return [*self._syncer.join(now, 0), *self._reporter.report(now, 0)]
@@ -295,13 +296,13 @@
         step: Effects = []
         if message.members:
             is_new = self._exchange.add_discovered(message.members)
-            self._syncer.replace_discovered(message.members)
+            has_new_peer = self._syncer.replace_discovered(message.members)
             step.append(
                 effects.Publish(messages.PeersFound(message.members)),
             )
             if is_new:
                 step.append(self._view.timers.set_timer('exchange', now))
-            if not self._view.peers:
+            if has_new_peer and not self._view.peers:
                 step.append(self._view.timers.set_timer('join', now))
         if message.wanted:
             step.extend(self._reporter.send_members(sender, now))
--- a/shallotwharf/components/membership/syncer.py
+++ b/shallotwharf/components/membership/syncer.py
@@ -19,9 +19,18 @@
 
     Seeds that are not live members, and members that were declared dead, are
     contacted periodically, so that two groups merge again after a partition.
+    With live members, only seeds of the own region are contacted if there are
+    any.
     """
 
-    __slots__ = ('_view', '_seeds', '_discovered', '_random')
+    __slots__ = (
+        '_view',
+        '_seeds',
+        '_near_seeds',
+        '_discovered',
+        '_search_period_ms',
+        '_random',
+    )
 
     def __init__(
         self,
@@ -32,19 +41,36 @@
         local_name = view.local.state.member.name
         self._view = view
         self._seeds = tuple(seed for seed in seeds if seed != local_name)
+        self._near_seeds = self._seeds
         self._discovered: tuple[str, ...] = ()
+        self._search_period_ms = const.SEARCH_PERIOD_MS
         self._random = source
 
-    def change_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Replace the processes that are asked for members."""
+    def change_seeds(
+        self,
+        seeds: tuple[str, ...],
+        near: tuple[str, ...],
+    ) -> None:
+        """Replace the processes that are asked for members.
+
+        Args:
+            seeds: names of all of them.
+            near: names of those in the own region.
+        """
         self._seeds = seeds
+        self._near_seeds = near or seeds
+
+    def replace_discovered(self, members: tuple[messages.Member, ...]) -> bool:
+        """Store members of the local data centre, as received from control.
 
-    def replace_discovered(self, members: tuple[messages.Member, ...]) -> None:
-        """Store members of the local data centre, as received from control."""
+        Returns whether one of them was not known.
+        """
         datacentre = self._view.local.state.member.datacentre
+        known = set(self._discovered)
         self._discovered = tuple(
             member.name for member in members if member.datacentre == datacentre
         )[: const.MAX_DISCOVERED_MEMBERS]
+        return not known.issuperset(self._discovered)
 
     def start(self, now: int) -> Effects:
         """Ask seeds for members."""
@@ -60,7 +86,7 @@
         local_member = self._view.local.state.member
         candidates = sorted(
             {
-                *self._seeds,
+                *(self._near_seeds if live else self._seeds),
                 *self._discovered,
                 *self._view.store.list_ended(local_member.datacentre),
             }
@@ -69,7 +95,7 @@
         )
         count = const.JOIN_TARGETS if live else const.FIRST_JOIN_TARGETS
         targets = self._random.sample(candidates, min(count, len(candidates)))
-        join_at = now + const.JOIN_PERIOD_MS
+        join_at = now + self._find_join_period(bool(live))
         return [
             *self._send_sync(targets),
             self._view.timers.set_timer('join', join_at),
@@ -116,6 +142,14 @@
             *self._send_snapshots(sender, message.wanted, (), now),
         ]
 
+    def _find_join_period(self, has_peers: bool) -> int:
+        if has_peers:
+            self._search_period_ms = const.SEARCH_PERIOD_MS
+            return const.JOIN_PERIOD_MS
+        period_ms = self._search_period_ms
+        self._search_period_ms = min(2 * period_ms, const.JOIN_PERIOD_MS)
+        return period_ms
+
     def _send_sync(self, targets: list[str]) -> Effects:
         if not targets:
             return []
--- a/shallotwharf/components/roster/messages.py
+++ b/shallotwharf/components/roster/messages.py
@@ -55,6 +55,14 @@
         """Return the names of all processes."""
         return tuple(known.name for known in self.processes)
 
+    def list_near(self, region: str) -> tuple[str, ...]:
+        """Return the names of the processes in a region."""
+        return tuple(
+            known.name
+            for known in self.processes
+            if known.location.region == region
+        )
+
 
 @messages.register('roster.control_changed')
 class ControlChanged(messages.Message):
--- a/tests/components/membership/test_traffic.py
+++ b/tests/components/membership/test_traffic.py
@@ -57,3 +57,14 @@
     sizes = dict.fromkeys('abcde'[:count], 4)
     _, highest = measure(sizes, changes_load=True)
     assert highest < LIMIT_BYTES_PER_SECOND
+
+
+def test_node_whose_only_peer_is_gone_stays_within_the_limit():
+    """Guards against a loop of joins and answers that name the lost peer."""
+    state = world.World(1, {'a': 2, 'b': 2}, ('k0', 'k1'))
+    state.cluster.run_until(state.agrees, 30_000)
+    state.cluster.kill('a01')
+    state.cluster.run_until(state.agrees, 60_000)
+    state.sent_bytes.clear()
+    state.cluster.run_for(SECONDS * 1000)
+    assert state.sent_bytes['a00'] / SECONDS < LIMIT_BYTES_PER_SECOND
