--- a/shallotwharf/components/membership/syncer.py
+++ b/shallotwharf/components/membership/syncer.py
@@ -84,9 +84,10 @@
         """Contact some seeds and dead members, more if no peer is live."""
         live = set(self._view.peers)
         local_member = self._view.local.state.member
+        seeds = self._near_seeds if live else self._seeds
         candidates = sorted(
             {
-                *(self._near_seeds if live else self._seeds),
+                *seeds,
                 *self._discovered,
                 *self._view.store.list_ended(local_member.datacentre),
             }
