Restore the size of a log whose rewrite was interrupted

If the sync of the directory failed after the rename, the size and range of the old file were kept for the new one (the flag for this case was never set), and the repair after a later failed append cut the new file at the old size: CorruptionError at the next start.

Change: the flag is set around the rewrite, and the repair reads the file that is in place without using the old size. The fake folder can fail a sync of names.

--- a/shallotwharf/adapters/disk.py
+++ b/shallotwharf/adapters/disk.py
@@ -156,10 +156,14 @@
         self._replace(
             SNAPSHOT_FILE, b''.join(map(frames.build_frame, payloads))
         )
+        if self._replacing:
+            self._repair()
         log = self._read_log()
         kept = log.select(operation.first, operation.last)
         content = _build_log_frame(operation.first, kept) if kept else b''
+        self._replacing = True
         self._replace(LOG_FILE, content)
+        self._replacing = False
         self._damaged = False
         self._size = len(content)
         self._records = _Range(operation.first, len(kept))
@@ -194,9 +198,12 @@
         """Restore a consistent log after a failed operation."""
         if self._replacing:
             self._folder.sync_names()
+            # The size may be that of the other file, so it is not used.
+            self._damaged = False
             log = self._read_log()
             self._size = log.size
             self._records = log.range
+            self._damaged = True
             self._replacing = False
         if self._damaged:
             self._folder.truncate(LOG_FILE, self._size)
--- a/tests/adapters/test_disk.py
+++ b/tests/adapters/test_disk.py
@@ -135,6 +135,29 @@
     assert found.state is None
 
 
+@pytest.mark.parametrize('failed_sync', [1, 2])
+@pytest.mark.parametrize('fails_append', [False, True])
+def test_log_is_intact_after_a_snapshot_whose_names_were_not_synced(
+    failed_sync, fails_append
+):
+    """Guards against a size of the old log file that is used for the new."""
+    data, _ = write_log([append(1, 9)])
+    opened = open_disk(data)
+    data.names_fail_in = failed_sync
+    header = stored.Snapshot(6, 1, MEMBERS)
+    with pytest.raises(errors.StorageError):
+        opened.execute(storage.SaveSnapshot(header, (stored.Noop(),), 4, 9))
+    if fails_append:
+        data.full = True
+        with pytest.raises(errors.StorageError):
+            opened.execute(append(10, 2))
+        data.full = False
+    opened.execute(append(10, 1))
+    opened.execute(append(11, 1))
+    found = open_disk(data).recover()
+    assert found.entries[-8:] == build_entries(4, 8)
+
+
 def test_append_that_leaves_a_gap_is_refused():
     data, _ = write_log([append(1, 2)])
     with pytest.raises(errors.StorageError):
--- a/tests/folders.py
+++ b/tests/folders.py
@@ -21,14 +21,15 @@
 
     Names and contents are synced separately. `full` makes each write fail after
     half of its content was written; `full_in` does so only for the write with
-    that number, counted from 1. `crash_in` stops the process after that many
-    operations.
+    that number, counted from 1. `names_fail_in` does the same for the sync of
+    names. `crash_in` stops the process after that many operations.
     """
 
     def __init__(self, seed: int = 1) -> None:
         self.random = random.Random(seed)
         self.full = False
         self.full_in: int | None = None
+        self.names_fail_in: int | None = None
         self.crash_in: int | None = None
         self.operations = 0
         self._files: dict[str, _File] = {}
@@ -68,6 +69,10 @@
 
     def sync_names(self) -> None:
         self._step()
+        if self.names_fail_in is not None:
+            self.names_fail_in -= 1
+        if self.names_fail_in == 0:
+            raise errors.StorageError('no names synced', 'sync_names', '/data')
         self._synced_names = dict(self._files)
 
     def close(self) -> None:
