Read numbers in headers with a limit on their digits

Cause: a deadline of thousands of digits made int() raise (limit of 4,300 digits), so that the caller's connection was closed without a response; other Unicode digits were accepted.

Change: core.numbers.parse_count reads all numbers of headers; a text that is no number of up to 15 ASCII digits counts as absent.

Result: three of the new cases fail before and pass after.

--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -4,7 +4,7 @@
 
 from tornado import httputil
 
-from shallotwharf.core import calls
+from shallotwharf.core import calls, numbers
 
 DEADLINE: typing.Final = 'Shallotwharf-Deadline-Ms'
 ATTEMPT: typing.Final = 'Shallotwharf-Attempt'
@@ -92,8 +92,8 @@
     """
     for part in headers.get('Keep-Alive', '').split(','):
         name, _, seconds = part.partition('=')
-        if name.strip().lower() == 'timeout' and seconds.strip().isdecimal():
-            return float(seconds)
+        if name.strip().lower() == 'timeout':
+            return float(numbers.parse_count(seconds.strip()) or 0)
     return 0
 
 
@@ -122,12 +122,11 @@
     body: bytes,
 ) -> calls.Request:
     """Parse a request of a caller or of another node."""
-    deadline = headers.get(DEADLINE, '')
     return calls.Request(
         start_line.method,
         start_line.path,
         body,
-        int(deadline) if deadline.isdecimal() else None,
+        numbers.parse_count(headers.get(DEADLINE, '')),
         RETRIED in headers,
         headers.get(ATTEMPT, ''),
         headers.get(FORWARDED, ''),
@@ -168,8 +167,8 @@
     """Return the result of an attempt from another node's response."""
     if headers.get(ATTEMPT) != attempt:
         return calls.Result(calls.OUTCOME_CROSSED, 'attempt_mismatch')
-    stated = headers.get(SPARE, '')
-    spare = int(stated) if stated.isdecimal() else -1
+    stated = numbers.parse_count(headers.get(SPARE, ''))
+    spare = -1 if stated is None else stated
     reported = headers.get(OUTCOME)
     if reported is None:
         return calls.Result(calls.OUTCOME_ANSWERED, '', status, spare)
--- a/shallotwharf/components/call/forwarded.py
+++ b/shallotwharf/components/call/forwarded.py
@@ -1,11 +1,10 @@
 """Plan of a call at the node beside the chosen upstream."""
 
 from shallotwharf.components.call import const, rules
-from shallotwharf.core import call_interfaces, calls
+from shallotwharf.core import call_interfaces, calls, numbers
 
-# Four parts (rank, service, version, start limit) plus the two of them that
-# must be numbers (rank, start limit).
-_PART_COUNT = 6
+# Rank, service, version and start limit.
+_PART_COUNT = 4
 
 
 class ForwardedPlan(call_interfaces.Plan):
@@ -23,17 +22,18 @@
         """
         request = self._request
         parts = request.forwarded.split(' ')
-        numbers = [part for part in parts[::3] if part.isdecimal()]
-        if not request.attempt or len(parts) + len(numbers) != _PART_COUNT:
-            return calls.Respond(
-                const.STATUS_BAD_REQUEST,
-                const.REASON_FORWARDED,
-                not_run=True,
-            )
-        start_ms = int(parts[3])
+        rank = numbers.parse_count(parts[0])
+        start_ms = numbers.parse_count(parts[-1])
+        is_valid = (
+            bool(request.attempt)
+            and len(parts) == _PART_COUNT
+            and rank is not None
+        )
+        if not is_valid or start_ms is None:
+            return _refuse()
         return calls.Enter(
             request.attempt,
-            int(parts[0]),
+            rank or 0,
             parts[1],
             parts[2],
             now + (request.deadline_ms or 0),
@@ -66,3 +66,11 @@
     def cancel(self, now: int) -> bool:
         """Stop the attempt, because the sending node gave up."""
         return True
+
+
+def _refuse() -> calls.Step:
+    return calls.Respond(
+        const.STATUS_BAD_REQUEST,
+        const.REASON_FORWARDED,
+        not_run=True,
+    )
--- /dev/null
+++ b/shallotwharf/core/numbers.py
@@ -0,0 +1,18 @@
+"""Numbers in text that other processes sent."""
+
+import typing
+
+# Any time or count in a header is far below this. Longer texts would make
+# `int` raise, and numbers that large overflow when they are added to a time.
+_MAX_DIGITS: typing.Final = 15
+
+
+def parse_count(text: str) -> int | None:
+    """Return a non-negative integer in decimal digits.
+
+    None if the text is anything else or has more than 15 digits.
+    """
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > _MAX_DIGITS:
+        return None
+    return int(text)
--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -6,7 +6,7 @@
 from tornado import httputil
 
 from shallotwharf.adapters import header_format, headers, responses
-from shallotwharf.core import calls, clock
+from shallotwharf.core import calls, clock, numbers
 
 # Unique id of a caller's attempt; upstreams echo it in the response.
 _ATTEMPT: typing.Final = 'Attempt-Id'
@@ -55,9 +55,8 @@
         label = request_headers.get(_ATTEMPT, '')
         if request.forwarded:
             return request.replace(label=label)
-        deadline = request_headers.get(_DEADLINE, '')
         return request.replace(
-            deadline_ms=int(deadline) if deadline.isdecimal() else None,
+            deadline_ms=numbers.parse_count(request_headers.get(_DEADLINE, '')),
             retried=False,
             key='',
             label=label,
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -255,6 +255,15 @@
     assert len(raw.requests) == (1 if status == 200 else 0)
 
 
+@on_loop
+async def test_deadline_with_thousands_of_digits_is_no_limit():
+    """Guards against a connection that is dropped without a response."""
+    nodes, raw = await async_build(OK)
+    deadline = 'Shallotwharf-Deadline-Ms: ' + 5000 * '9'
+    assert await async_call(nodes[0], 'GET', '/', deadline) == (200, b'ok')
+    assert len(raw.requests) == 1
+
+
 @on_loop
 async def test_late_response_never_reaches_another_call():
     async def respond(head):
--- a/tests/platform/test_header_format.py
+++ b/tests/platform/test_header_format.py
@@ -94,3 +94,12 @@
     )
     request = HEADER_FORMAT.read_request(line, header_fields, b'')
     assert (request.host, request.deadline_ms) == ('ficu95.example', 800)
+
+
+@pytest.mark.parametrize('text', ['', '-1', '1.5', '٣', '9' * 5000])
+def test_deadline_that_is_no_usable_number_is_no_limit(text):
+    """Guards against a header that raises while a request is read."""
+    line = httputil.RequestStartLine('GET', '/x', 'HTTP/1.1')
+    header_fields = httputil.HTTPHeaders({'Deadline-Ms': text})
+    request = HEADER_FORMAT.read_request(line, header_fields, b'')
+    assert request.deadline_ms is None
