Cut off upstreams whose bytes never end

Cause: chunk extensions, trailer fields and empty lines before a response were counted by no limit. A node read them until the deadline of the call (1.5 GB in 3 s in the test), and a trailer line without an end grew in memory meanwhile. Informational responses were skipped without a limit.

Change: a message may have 64 KiB of framing and eight bytes of it for each byte of its body; empty lines before a message have the same limit; after 16 skipped responses the request fails. The connection is closed and the caller told that the request may have run.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -22,6 +22,10 @@
 REASON_TOO_LARGE: typing.Final = 'answer_too_large'
 REASON_MALFORMED: typing.Final = 'answer_malformed'
 
+# Limit of informational responses, and late ones to earlier requests, that
+# precede the response to a request.
+_MAX_SKIPPED_RESPONSES: typing.Final = 16
+
 OnDone: typing.TypeAlias = collections_abc.Callable[
     [calls.Result, responses.Response | None], None
 ]
@@ -112,6 +116,7 @@
         '_closed',
         '_close_after',
         '_close_delimited',
+        '_skipped',
         'idle_since',
         'idle_limit',
     )
@@ -127,6 +132,7 @@
         self._closed = False
         self._close_after = False
         self._close_delimited = False
+        self._skipped = 0
         self.idle_since: float = 0
         # Keep-alive timeout of the peer in seconds; 0 if not stated.
         self.idle_limit: float = 0
@@ -145,6 +151,7 @@
         self._current = outgoing
         self._sent = False
         self._response = None
+        self._skipped = 0
         if not outgoing.prepare():
             self.fail(REASON_EXPIRED)
             return
@@ -249,8 +256,7 @@
         """Deliver the complete response and make the connection idle."""
         response = typing.cast(responses.Response, self._response)
         if headers.is_informational(response.status):
-            self._response = None
-            self._reader.resume()
+            self._skip_response()
             return
         outgoing = self._current
         if outgoing is not None and not outgoing.matches_request(
@@ -258,11 +264,7 @@
         ):
             # A late response to an earlier request; the right one may follow.
             self._pool.counters.add('outbound.foreign')
-            self._response = None
-            if self._close_after:
-                self.fail(REASON_NO_ANSWER)
-            else:
-                self._reader.resume()
+            self._skip_response()
             return
         response.body = body
         self.idle_limit = headers.read_keep_alive(response.headers)
@@ -278,6 +280,17 @@
             self._reader.resume()
             self._pool.add_idle(self)
 
+    def _skip_response(self) -> None:
+        """Wait for another response to the same request."""
+        self._response = None
+        self._skipped += 1
+        if self._skipped > _MAX_SKIPPED_RESPONSES:
+            self.fail(REASON_MALFORMED)
+        elif self._close_after:
+            self.fail(REASON_NO_ANSWER)
+        else:
+            self._reader.resume()
+
     def _refuse_unsolicited(self) -> None:
         """Close the connection because of bytes without a pending request."""
         self._pool.counters.add('outbound.unsolicited')
--- /dev/null
+++ b/shallotwharf/adapters/partial.py
@@ -0,0 +1,76 @@
+"""An HTTP/1.1 message that is being received."""
+
+import typing
+
+from tornado import httputil
+
+MAX_HEAD_BYTES: typing.Final = 32_768
+# Bytes of a message beside its head and body: chunk sizes, their extensions and
+# trailer fields. A body in chunks of a byte has five of them a byte.
+MAX_FRAMING_BYTES: typing.Final = 65_536
+_MAX_FRAMING_PER_BODY_BYTE: typing.Final = 8
+
+
+class PartialMessage:
+    """Head and body of a message as far as they have arrived."""
+
+    __slots__ = (
+        'text',
+        'start_line',
+        'headers',
+        'parts',
+        'head_size',
+        'size',
+        'received',
+        'unparsed',
+        'has_head',
+        'head_delivered',
+        'is_complete',
+    )
+
+    def __init__(self) -> None:
+        # Target of a request or reason phrase of a response.
+        self.text = b''
+        self.start_line = ''
+        self.headers = httputil.HTTPHeaders()
+        self.parts: list[bytes] = []
+        self.head_size = 0
+        self.size = 0
+        # Bytes received after the read that ended the head.
+        self.received = 0
+        # Bytes received before the end of the head.
+        self.unparsed = 0
+        self.has_head = False
+        self.head_delivered = False
+        self.is_complete = False
+
+    def add_header(self, name: bytes, field: bytes) -> None:
+        """Add a header field; trailer fields are dropped."""
+        if self.has_head:
+            return
+        self.head_size += len(name) + len(field)
+        key = name.decode('latin1')
+        text = field.decode('latin1')
+        if key in self.headers:
+            self.headers.add(key, text)
+        else:
+            self.headers[key] = text
+
+    def is_head_too_large(self) -> bool:
+        """Return whether the head exceeds `MAX_HEAD_BYTES`."""
+        if self.has_head:
+            return self.head_size > MAX_HEAD_BYTES
+        return self.unparsed > MAX_HEAD_BYTES
+
+    def is_framing_too_large(self) -> bool:
+        """Return whether most of what was received belongs to no body."""
+        if self.is_complete:
+            return False
+        allowed = MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * self.size
+        return self.received > allowed
+
+    def join(self) -> bytes:
+        """Return the body, without a copy if it has one part."""
+        if len(self.parts) == 1:
+            return self.parts[0]
+        return b''.join(self.parts)
--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -13,7 +13,8 @@
 import httptools
 from tornado import http1connection, httputil
 
-MAX_HEAD_BYTES: typing.Final = 32_768
+from shallotwharf.adapters import partial
+
 _CONTENT_LENGTH: typing.Final = 'Content-Length'
 
 Parser: typing.TypeAlias = typing.Any
@@ -23,6 +24,10 @@
     """The head of a message exceeds its limit."""
 
 
+class FramingTooLargeError(httputil.HTTPInputError):
+    """A message has far more bytes than its head and body."""
+
+
 class Receiver(abc.ABC):
     """Receiver of the messages that a reader parses."""
 
@@ -52,61 +57,6 @@
         """Handle the end of a message, given its complete body."""
 
 
-class _Message:
-    """A message that is being received."""
-
-    __slots__ = (
-        'text',
-        'start_line',
-        'headers',
-        'parts',
-        'head_size',
-        'size',
-        'unparsed',
-        'has_head',
-        'head_delivered',
-        'is_complete',
-    )
-
-    def __init__(self) -> None:
-        # Target of a request or reason phrase of a response.
-        self.text = b''
-        self.start_line = ''
-        self.headers = httputil.HTTPHeaders()
-        self.parts: list[bytes] = []
-        self.head_size = 0
-        self.size = 0
-        # Bytes received before the end of the head.
-        self.unparsed = 0
-        self.has_head = False
-        self.head_delivered = False
-        self.is_complete = False
-
-    def add_header(self, name: bytes, field: bytes) -> None:
-        """Add a header field; trailer fields are dropped."""
-        if self.has_head:
-            return
-        self.head_size += len(name) + len(field)
-        key = name.decode('latin1')
-        text = field.decode('latin1')
-        if key in self.headers:
-            self.headers.add(key, text)
-        else:
-            self.headers[key] = text
-
-    def is_head_too_large(self) -> bool:
-        """Return whether the head exceeds `MAX_HEAD_BYTES`."""
-        if self.has_head:
-            return self.head_size > MAX_HEAD_BYTES
-        return self.unparsed > MAX_HEAD_BYTES
-
-    def join(self) -> bytes:
-        """Return the body, without a copy if it has one part."""
-        if len(self.parts) == 1:
-            return self.parts[0]
-        return b''.join(self.parts)
-
-
 class Reader(abc.ABC):
     """Parser of the messages of a connection.
 
@@ -122,17 +72,22 @@
         '_is_paused',
         '_is_stopped',
         '_excess_bytes',
+        '_blank_bytes',
     )
 
     def __init__(self, receiver: Receiver) -> None:
         self._receiver = receiver
         self._parser = self.make_parser()
         # The last one may be incomplete.
-        self._messages: collections.deque[_Message] = collections.deque()
+        self._messages: collections.deque[partial.PartialMessage] = (
+            collections.deque()
+        )
         self._fault = ''
         self._is_paused = False
         self._is_stopped = False
         self._excess_bytes = 0
+        # Empty lines received since the last message.
+        self._blank_bytes = 0
 
     @abc.abstractmethod
     def make_parser(self) -> Parser:
@@ -152,10 +107,13 @@
             return
         message_count = len(self._messages)
         arriving = self._find_incomplete_head()
+        if arriving is None and self._messages:
+            self._messages[-1].received += len(received)
         try:
             self._parse(received)
         except httptools.HttpParserError as error:
             self._fault = self._fault or repr(error)
+        self._count_blank(len(received))
         last = self._find_incomplete_head()
         # The parser buffers a header line until its end, so the bytes are
         # counted here. Bytes that may belong to the previous message are not.
@@ -201,7 +159,7 @@
 
     def on_message_begin(self) -> None:
         """Begin a message; parser callback, like the methods below."""
-        self._messages.append(_Message())
+        self._messages.append(partial.PartialMessage())
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the target of a request."""
@@ -232,7 +190,10 @@
         """Mark the message as complete."""
         self._messages[-1].is_complete = True
 
-    def _find_incomplete_head(self) -> _Message | None:
+    def _count_blank(self, size: int) -> None:
+        self._blank_bytes = 0 if self._messages else self._blank_bytes + size
+
+    def _find_incomplete_head(self) -> partial.PartialMessage | None:
         """Return the message whose head is incomplete, if any."""
         if self._messages and not self._messages[-1].has_head:
             return self._messages[-1]
@@ -260,14 +221,26 @@
                 break
         if self._is_paused or self._is_stopped:
             return
+        error = self._find_error()
+        if error is not None:
+            raise error
+
+    def _find_error(self) -> httputil.HTTPInputError | None:
+        """Return why the bytes received so far are not valid, if so."""
+        error: httputil.HTTPInputError | None = None
+        if self._fault:
+            error = httputil.HTTPInputError(self._fault)
+        if self._blank_bytes > partial.MAX_FRAMING_BYTES:
+            error = FramingTooLargeError('too many empty lines')
+        if self._messages and self._messages[0].is_framing_too_large():
+            error = FramingTooLargeError('too many bytes beside the body')
         if self._messages and self._messages[0].is_head_too_large():
-            raise HeadTooLargeError(
-                f'the message head exceeds {MAX_HEAD_BYTES} bytes',
+            error = HeadTooLargeError(
+                f'the message head exceeds {partial.MAX_HEAD_BYTES} bytes',
             )
-        if self._fault:
-            raise httputil.HTTPInputError(self._fault)
+        return error
 
-    def _deliver_message(self, message: _Message) -> bool:
+    def _deliver_message(self, message: partial.PartialMessage) -> bool:
         """Deliver what has arrived; return whether the message ended."""
         if not message.has_head or message.is_head_too_large():
             return False
@@ -284,7 +257,7 @@
         self._receiver.receive_end(message.join())
         return True
 
-    def _deliver_head(self, message: _Message) -> None:
+    def _deliver_head(self, message: partial.PartialMessage) -> None:
         message.head_delivered = True
         length = self._receiver.receive_head(
             message.start_line,
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from shallotwharf.adapters import wire
+from shallotwharf.adapters import partial
 from shallotwharf.components.once import messages as once
 from shallotwharf.components.upstream import messages as upstream
 from shallotwharf.core import aggregate, effects
@@ -141,6 +141,85 @@
     assert len(raw.requests) == 1
 
 
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+class EndlessUpstream:
+    """Upstream that repeats `part` after `head` until its peer closes."""
+
+    def __init__(self, head, part):
+        self.head = head
+        self.part = part
+        self.sent = 0
+        self.ended = asyncio.Event()
+
+    async def async_start(self):
+        self.port = callnodes.find_port()
+        await asyncio.start_server(self.async_serve, callnodes.HOST, self.port)
+        return self
+
+    async def async_serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.head)
+        try:
+            while True:
+                writer.write(self.part)
+                self.sent += len(self.part)
+                await writer.drain()
+        except OSError:
+            self.ended.set()
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize(
+    ('head', 'part'),
+    [
+        (b'HTTP/1.1 200 ', 4096 * b'x'),
+        (b'HTTP/1.1 200 OK\r\n', b'X-More: 1\r\n' * 300),
+        (b'HTTP/1.1 200 OK\r\nX: ', 4096 * b'x'),
+        (CHUNKED, b'1000\r\n' + 4096 * b'x' + b'\r\n'),
+        (CHUNKED + b'5;', 4096 * b'x'),
+        (CHUNKED + b'0\r\n', b'X-More: 1\r\n' * 300),
+        (CHUNKED + b'0\r\nX: ', 4096 * b'x'),
+        (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 100),
+        (b'', b'\r\n' * 2000),
+        (b'', 4096 * b'\x00'),
+    ],
+    ids=[
+        'status line',
+        'headers',
+        'header line',
+        'chunks',
+        'chunk extension',
+        'trailers',
+        'trailer line',
+        'informational',
+        'empty lines',
+        'zeros',
+    ],
+)
+@on_loop
+async def test_bytes_without_end_are_cut_off_and_may_have_run(
+    head, part, count
+):
+    """Guards against memory and time lost to an upstream that never ends."""
+    mesh = callnodes.Mesh()
+    nodes = [
+        await callnodes.Node(f'n{number}', mesh).async_listen()
+        for number in range(count)
+    ]
+    raw = await EndlessUpstream(head, part).async_start()
+    nodes[-1].announce(raw.port)
+    await asyncio.sleep(0.01)
+    deadline = 'Shallotwharf-Deadline-Ms: 3000'
+    got = await async_call(nodes[0], 'POST', '/cut', deadline, body='x')
+    status, _, not_run = parse_refusal(got)
+    assert status in {502, 504} and not not_run
+    await asyncio.wait_for(raw.ended.wait(), 5)
+    # The limit of a body and what the buffers of both sockets hold.
+    assert raw.sent < 17 * 1024 * 1024 + 8 * 1024 * 1024
+
+
 @pytest.mark.parametrize('count', [1, 2])
 @on_loop
 async def test_idempotent_call_is_retried_after_a_truncated_response(count):
@@ -242,7 +321,7 @@
             413,
         ),
         (
-            b'GET / HTTP/1.1\r\nHost: x\r\nA: ' + b'x' * wire.MAX_HEAD_BYTES,
+            b'GET / HTTP/1.1\r\nHost: x\r\nA: ' + b'x' * partial.MAX_HEAD_BYTES,
             431,
         ),
     ],
--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 from tornado import httputil
 
-from shallotwharf.adapters import wire
+from shallotwharf.adapters import partial, wire
 
 
 class Messages(wire.Receiver):
@@ -101,7 +101,7 @@
         b'GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n',
         b'GET / HTTP/1.1\r\n\n\r\n\r\n',
         b'GET / HTTP/1.1\nA: b\n\n',
-        b'GET / HTTP/1.1\r\nA: ' + b'x' * wire.MAX_HEAD_BYTES,
+        b'GET / HTTP/1.1\r\nA: ' + b'x' * partial.MAX_HEAD_BYTES,
     ],
 )
 def test_ambiguous_or_malformed_message_is_refused(text):
