--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -113,7 +113,10 @@
             self._parse(received)
         except httptools.HttpParserError as error:
             self._fault = self._fault or repr(error)
-        self._count_blank(len(received))
+        if self._messages:
+            self._blank_bytes = 0
+        else:
+            self._blank_bytes += len(received)
         last = self._find_incomplete_head()
         # The parser buffers a header line until its end, so the bytes are
         # counted here. Bytes that may belong to the previous message are not.
@@ -190,9 +193,6 @@
         """Mark the message as complete."""
         self._messages[-1].is_complete = True
 
-    def _count_blank(self, size: int) -> None:
-        self._blank_bytes = 0 if self._messages else self._blank_bytes + size
-
     def _find_incomplete_head(self) -> partial.PartialMessage | None:
         """Return the message whose head is incomplete, if any."""
         if self._messages and not self._messages[-1].has_head:
