Replicate a revision as a change of the one before

Change: the leader proposes a revision whose base is in force as changed rows and a patch of the document (core.patches). The command names the version that has its base, so that it is refused if other tables came between. A revision without its base in force is proposed whole, as before. Documents are stored as they were sent; those that an earlier release compressed are still read.

--- a/shallotwharf/components/ledger/answers.py
+++ b/shallotwharf/components/ledger/answers.py
@@ -1,10 +1,14 @@
 """Checks that refuse commands, and the counter of replies."""
 
-from shallotwharf.components.ledger import const, messages
+import typing
+
+from shallotwharf.components.ledger import const, history, messages
 from shallotwharf.components.tables import document, version
 from shallotwharf.core import effects, schema
 from shallotwharf.core import messages as core_messages
 
+Edit: typing.TypeAlias = messages.ApplyEdit | messages.Revert
+
 
 def refuse(reason: str, detail: str) -> messages.EditRefused:
     """Return a refusal; a long detail is truncated."""
@@ -21,6 +25,36 @@
     return None
 
 
+def find_refusal(
+    versions: history.History,
+    command: Edit,
+    tables: version.Tables | None,
+) -> core_messages.Message | None:
+    """Return the conflict or refusal of an edit; None if it may follow.
+
+    `tables` is None if the edit reverts to a version that is not kept.
+    """
+    current = versions.current.number
+    if command.base > current:
+        return refuse(
+            const.REASON_UNKNOWN_BASE,
+            f'version {command.base} does not exist',
+        )
+    if command.base < versions.tables_number:
+        winner = versions.find_winner(command.base)
+        return messages.EditConflict(
+            current,
+            '' if winner is None else winner.request_id,
+            '' if winner is None else winner.operator,
+        )
+    if tables is None:
+        return refuse(
+            const.REASON_UNKNOWN_VERSION,
+            'the version is not in the history',
+        )
+    return check_tables(tables)
+
+
 def check_revision(
     current: version.Version,
     command: messages.ApplyRevision,
--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -12,16 +12,15 @@
     moves,
     orders,
     requests,
+    revisions,
     snapshot,
 )
 from shallotwharf.components.replica import messages as replica_messages
 from shallotwharf.components.tables import messages as tables_messages
 from shallotwharf.components.tables import version
-from shallotwharf.core import aggregate, effects
+from shallotwharf.core import aggregate, effects, errors
 from shallotwharf.core import messages as core_messages
 
-_Edit: typing.TypeAlias = messages.ApplyEdit | messages.Revert
-
 
 class Ledger(aggregate.Aggregate):
     """Versions and request ids; equal on all processes at equal indices.
@@ -88,6 +87,12 @@
         record = self._requests.find(request_id)
         return None if record is None else record.reply
 
+    def compact(self, command: messages.Command) -> messages.Command:
+        """Return a command in the form in which it is best proposed."""
+        if isinstance(command, messages.ApplyRevision):
+            return revisions.compact(command, self._read_base())
+        return command
+
     def apply(
         self,
         committed: replica_messages.Committed,
@@ -103,7 +108,7 @@
         reply = getattr(self, method)(committed.command)
         step: list[effects.Effect] = [answers.count_reply(reply)]
         if self.current.number > before:
-            step.append(self._publish_current())
+            step.append(_publish(self.current))
         if committed.request:
             step.append(effects.Answer(committed.request, reply))
         return step
@@ -143,10 +148,7 @@
         self._requests = state.requests
         self.orders = state.orders
         self._applied = restored.index
-        return [self._publish_current()] if self.current.number else []
-
-    def _publish_current(self) -> effects.Effect:
-        return effects.Publish(tables_messages.VersionAccepted(self.current))
+        return [_publish(self.current)] if self.current.number else []
 
     def _apply_edit(
         self,
@@ -161,7 +163,7 @@
 
     def _run_once(
         self,
-        command: _Edit,
+        command: answers.Edit,
         tables: version.Tables | None,
         kind: str,
     ) -> core_messages.Message:
@@ -170,7 +172,7 @@
         reply = self._requests.check(command)
         if reply is not None:
             return reply
-        reply = self._find_refusal(command, tables)
+        reply = answers.find_refusal(self._history, command, tables)
         if reply is None:
             accepted = typing.cast(version.Tables, tables)
             reply = self._accept_tables(command, accepted, kind)
@@ -183,36 +185,9 @@
         )
         return reply
 
-    def _find_refusal(
-        self,
-        command: _Edit,
-        tables: version.Tables | None,
-    ) -> core_messages.Message | None:
-        if command.base > self.current.number:
-            return answers.refuse(
-                const.REASON_UNKNOWN_BASE,
-                f'version {command.base} does not exist',
-            )
-        if command.base < self._history.tables_number:
-            return self._build_conflict(command.base)
-        if tables is None:
-            return answers.refuse(
-                const.REASON_UNKNOWN_VERSION,
-                'the version is not in the history',
-            )
-        return answers.check_tables(tables)
-
-    def _build_conflict(self, base: int) -> messages.EditConflict:
-        winner = self._history.find_winner(base)
-        return messages.EditConflict(
-            self.current.number,
-            '' if winner is None else winner.request_id,
-            '' if winner is None else winner.operator,
-        )
-
     def _accept_tables(
         self,
-        command: _Edit,
+        command: answers.Edit,
         tables: version.Tables,
         kind: str,
     ) -> core_messages.Message:
@@ -235,6 +210,29 @@
         self.orders.add(command, accepted)
         return accepted
 
+    def _change_revision(
+        self,
+        command: messages.ChangeRevision,
+    ) -> core_messages.Message:
+        known = self.orders.find(command.digest)
+        if known is not None:
+            return known
+        base = self._read_base()
+        if command.base_number != base.number:
+            return messages.EditConflict(base.tables.revision, '', '')
+        try:
+            expanded = revisions.expand(command, base)
+        except errors.ProtocolError as error:
+            return answers.refuse(const.REASON_UNKNOWN_BASE, error.detail)
+        return self._apply_revision(expanded)
+
+    def _read_base(self) -> revisions.Base:
+        return revisions.Base(
+            self.current.tables,
+            self._history.tables_number,
+            self.orders.document,
+        )
+
     def _order_move(self, command: messages.OrderMove) -> core_messages.Message:
         current = self.current
         if all(row.service != command.service for row in current.tables.pools):
@@ -325,6 +323,10 @@
         return messages.EditAccepted(row.number, row.digest)
 
 
+def _publish(current: version.Version) -> effects.Effect:
+    return effects.Publish(tables_messages.VersionAccepted(current))
+
+
 _COMMANDS: typing.Final = types.MappingProxyType(
     {
         messages.ApplyEdit: '_apply_edit',
@@ -333,6 +335,7 @@
         messages.TakeBack: '_take_back',
         messages.AssignHolders: '_assign_holders',
         messages.ApplyRevision: '_apply_revision',
+        messages.ChangeRevision: '_change_revision',
         messages.OrderMove: '_order_move',
     },
 )
--- a/shallotwharf/components/ledger/messages.py
+++ b/shallotwharf/components/ledger/messages.py
@@ -6,8 +6,8 @@
 
 import typing
 
-from shallotwharf.components.tables import version
-from shallotwharf.core import messages
+from shallotwharf.components.tables import pool, route, version
+from shallotwharf.core import messages, patches
 
 
 @messages.register('ledger.apply_edit')
@@ -150,6 +150,65 @@
         self.at = at
 
 
+@messages.register('ledger.change_revision')
+class ChangeRevision(messages.Message):
+    """The same as `ApplyRevision`, as a change of the revision before.
+
+    Attributes:
+        operator: who sent the order.
+        base: revision that the order is based on.
+        base_number: number of the version that has that revision.
+        revision: number of the new revision.
+        routes: routes that are new or changed.
+        pools: pools that are new or changed.
+        removed_routes: names of removed routes.
+        removed_pools: names of removed pools.
+        document: patch of the document of the base.
+        digest: digest of the whole order.
+        at: wall time in milliseconds since the epoch.
+    """
+
+    __slots__ = (
+        'operator',
+        'base',
+        'base_number',
+        'revision',
+        'routes',
+        'pools',
+        'removed_routes',
+        'removed_pools',
+        'document',
+        'digest',
+        'at',
+    )
+
+    def __init__(
+        self,
+        operator: str,
+        base: int,
+        base_number: int,
+        revision: int,
+        routes: tuple[route.Route, ...],
+        pools: tuple[pool.Pool, ...],
+        removed_routes: tuple[str, ...],
+        removed_pools: tuple[str, ...],
+        document: tuple[patches.Piece, ...],
+        digest: bytes,
+        at: int,
+    ) -> None:
+        self.operator = operator
+        self.base = base
+        self.base_number = base_number
+        self.revision = revision
+        self.routes = routes
+        self.pools = pools
+        self.removed_routes = removed_routes
+        self.removed_pools = removed_pools
+        self.document = document
+        self.digest = digest
+        self.at = at
+
+
 @messages.register('ledger.order_move')
 class OrderMove(messages.Message):
     """Move all pools of a service to a version within a period.
@@ -181,6 +240,7 @@
     | TakeBack
     | AssignHolders
     | ApplyRevision
+    | ChangeRevision
     | OrderMove
 )
 
--- /dev/null
+++ b/shallotwharf/components/ledger/revisions.py
@@ -0,0 +1,127 @@
+"""Revisions of the tables as changes of the ones before.
+
+An edit changes a few rows of tables that have hundreds, and each edit is sent
+to every control process and stored there.
+"""
+
+import typing
+from collections import abc
+
+from shallotwharf.components.ledger import messages
+from shallotwharf.components.tables import pool, route, version
+from shallotwharf.core import patches, records
+
+_RowT = typing.TypeVar('_RowT', route.Route, pool.Pool)
+
+
+class Base(records.Record):
+    """The tables in force and the document that the operators sent for them.
+
+    Attributes:
+        tables: the tables.
+        number: number of the version that last changed the tables.
+        document: the document; empty if there is none.
+    """
+
+    __slots__ = ('tables', 'number', 'document')
+
+    def __init__(
+        self,
+        tables: version.Tables,
+        number: int,
+        document: bytes,
+    ) -> None:
+        self.tables = tables
+        self.number = number
+        self.document = document
+
+
+def compact(
+    command: messages.ApplyRevision,
+    base: Base,
+) -> messages.ApplyRevision | messages.ChangeRevision:
+    """Return a revision as a change of its base, if that is in force.
+
+    Tables with two rows of a name are not valid and stay as they are.
+    """
+    tables = command.tables
+    before = base.tables
+    is_next = base.number > 0 and command.base == before.revision
+    if not is_next or _has_duplicates(tables):
+        return command
+    return messages.ChangeRevision(
+        command.operator,
+        command.base,
+        base.number,
+        tables.revision,
+        _find_changed(before.routes, tables.routes),
+        _find_changed(before.pools, tables.pools),
+        _find_removed(before.routes, tables.routes),
+        _find_removed(before.pools, tables.pools),
+        patches.make_patch(base.document, command.document),
+        command.digest,
+        command.at,
+    )
+
+
+def expand(
+    command: messages.ChangeRevision,
+    base: Base,
+) -> messages.ApplyRevision:
+    """Return a revision whose base has the number that it names.
+
+    Raises:
+        ProtocolError: if its document does not fit that of the base.
+    """
+    before = base.tables
+    tables = version.Tables(
+        _apply(before.routes, command.routes, command.removed_routes),
+        _apply(before.pools, command.pools, command.removed_pools),
+        command.revision,
+    )
+    return messages.ApplyRevision(
+        command.operator,
+        command.base,
+        tables,
+        patches.apply_patch(base.document, command.document),
+        command.digest,
+        command.at,
+    )
+
+
+def _find_changed(
+    before: tuple[_RowT, ...],
+    after: tuple[_RowT, ...],
+) -> tuple[_RowT, ...]:
+    known = _index(before)
+    return tuple(row for row in after if known.get(row.name) != row)
+
+
+def _find_removed(
+    before: tuple[_RowT, ...],
+    after: tuple[_RowT, ...],
+) -> tuple[str, ...]:
+    return tuple(sorted(_index(before).keys() - _index(after).keys()))
+
+
+def _apply(
+    before: tuple[_RowT, ...],
+    changed: tuple[_RowT, ...],
+    removed: tuple[str, ...],
+) -> tuple[_RowT, ...]:
+    rows = _index(before)
+    for name in removed:
+        rows.pop(name, None)
+    rows.update(_index(changed))
+    return tuple(rows.values())
+
+
+def _has_duplicates(tables: version.Tables) -> bool:
+    names = len(_index(tables.routes)) + len(_index(tables.pools))
+    return names < len(tables.routes) + len(tables.pools)
+
+
+def _index(
+    rows: abc.Iterable[_RowT],
+) -> dict[str, _RowT]:
+    return {row.name: row for row in rows}
--- a/shallotwharf/platform/document.py
+++ b/shallotwharf/platform/document.py
@@ -17,6 +17,8 @@
 # Route types whose requests may run more than once.
 _REPEATABLE: typing.Final = frozenset(('idempotent', 'download'))
 _ROUTE_TYPES: typing.Final = _REPEATABLE | {'non_idempotent'}
+# First byte of a zlib stream.
+_ZLIB_MARK: typing.Final = b'\x78'
 _METHODS: typing.Final = tuple(sorted(tables_const.METHODS))
 
 _Json: typing.TypeAlias = dict[str, typing.Any]
@@ -36,7 +38,7 @@
             operator,
             _read_number(config, 'baseVersion'),
             _read_tables(config),
-            zlib.compress(body),
+            body,
             _compute_digest(config),
             wall_now,
         )
@@ -50,8 +52,13 @@
 
 
 def write_document(document: bytes) -> bytes:
-    """Return a stored configuration byte for byte as it was sent."""
-    return zlib.decompress(document)
+    """Return a stored configuration byte for byte as it was sent.
+
+    Earlier releases stored it compressed; no JSON text begins like that.
+    """
+    if document.startswith(_ZLIB_MARK):
+        return zlib.decompress(document)
+    return document
 
 
 def _compute_digest(config: _Json) -> bytes:
--- a/shallotwharf/roles/control/operations.py
+++ b/shallotwharf/roles/control/operations.py
@@ -98,7 +98,8 @@
         if not self.is_leading():
             leader = self._replica.read_status().leader
             return replica_messages.NotLeader(leader)
-        return await proposals.async_propose(self._runtime, command)
+        compacted = self._ledger.compact(command)
+        return await proposals.async_propose(self._runtime, compacted)
 
     def render_counters(self) -> str:
         """Return all counters as text."""
--- a/tests/components/ledger/test_revisions.py
+++ b/tests/components/ledger/test_revisions.py
@@ -1,10 +1,18 @@
 """Guards against operators' orders that are lost, run twice or refused."""
 
+import hashlib
+import json
+import random
+
+import hypothesis
 import pytest
+from hypothesis import strategies
 
+from shallotwharf.adapters import codec
 from shallotwharf.components.ledger import ledger, messages
 from shallotwharf.components.replica import messages as replica
 from shallotwharf.components.tables import pool, route, version
+from shallotwharf.core import identifiers
 
 
 class LedgerDriver:
@@ -21,6 +29,10 @@
         )
         return step[-1].reply
 
+    def propose(self, command):
+        """Commit a command in the form in which control proposes it."""
+        return self.commit(self.ledger.compact(command))
+
     def restore(self):
         """Replace the ledger by one restored from its snapshot."""
         taken = self.ledger.handle(replica.SnapshotWanted(), '', 0)[0].message
@@ -115,3 +127,85 @@
     driver.commit(build_order(3, 0))
     refused = driver.commit(messages.OrderMove('other', 'v2', 12_000, 100))
     assert isinstance(refused, messages.EditRefused)
+
+
+ROWS = strategies.dictionaries(
+    strategies.sampled_from('abcdef'),
+    strategies.integers(1, 3),
+    min_size=1,
+)
+
+
+def build_large_order(revision, base, rows):
+    tables = version.Tables(
+        tuple(
+            route.Route(name, f'/{name}/', ('GET',), 'p', retries=retries)
+            for name, retries in rows.items()
+        ),
+        (pool.Pool('p', 's', {}),),
+        revision,
+    )
+    listed = [{'name': name, 'retries': count} for name, count in rows.items()]
+    document = json.dumps({'routes': listed, 'revision': revision}).encode()
+    digest = hashlib.sha256(b'%d %s' % (base, document)).digest()
+    return messages.ApplyRevision('o', base, tables, document, digest, 5)
+
+
+@hypothesis.given(
+    edits=strategies.lists(
+        strategies.tuples(ROWS, strategies.booleans(), strategies.booleans())
+    )
+)
+def test_changes_lead_to_the_same_state_as_whole_tables(edits):
+    """Guards against tables that differ from what the operators sent."""
+    whole, changed = LedgerDriver(), LedgerDriver()
+    for number, (rows, restored, is_stale) in enumerate(edits, 1):
+        base = max(number - 1 - is_stale, 0)
+        order = build_large_order(number, base, rows)
+        expected = whole.commit(order)
+        assert changed.propose(order) == expected
+        assert changed.propose(order) == expected
+        if restored:
+            changed.restore()
+        assert changed.ledger.current == whole.ledger.current
+        assert changed.ledger.orders.document == whole.ledger.orders.document
+
+
+def test_change_is_refused_if_its_base_was_replaced_before_it():
+    """Guards against a change applied to other tables of the same revision."""
+    driver = LedgerDriver()
+    driver.commit(build_order(3, 0))
+    change = driver.ledger.compact(build_order(5, 3, 'late'))
+    assert isinstance(change, messages.ChangeRevision)
+    driver.commit(build_order(4, 3, 'a'))
+    assert driver.commit(change) == messages.EditConflict(4, '', '')
+    edit = messages.ApplyEdit(
+        identifiers.make_identifier(5, random.Random(1)),
+        'o',
+        2,
+        build_order(3, 0, 'b').tables,
+        5,
+    )
+    assert isinstance(driver.commit(edit), messages.EditAccepted)
+    assert isinstance(driver.commit(change), messages.EditConflict)
+    assert driver.ledger.current.tables.pools[0].service == 'b'
+
+
+def test_small_change_of_large_tables_is_a_small_command():
+    """Guards against whole tables that are sent to each control process."""
+    driver = LedgerDriver()
+    rows = {f'route-{number}': 1 for number in range(300)}
+    driver.commit(build_large_order(1, 0, rows))
+    rows['route-7'] = 2
+    order = build_large_order(2, 1, rows)
+    change = driver.ledger.compact(order)
+    assert len(codec.encode(change)) < len(codec.encode(order)) / 10
+
+
+def test_two_rows_of_a_name_are_refused_as_such():
+    driver = LedgerDriver()
+    driver.commit(build_order(3, 0))
+    order = build_order(4, 3)
+    tables = order.tables.replace(routes=2 * order.tables.routes)
+    refused = driver.propose(order.replace(tables=tables))
+    assert isinstance(refused, messages.EditRefused)
