Use an accepted link at once and keep first attempts to connect short

The writer of a link waited for its own connect, which hangs if the other machine has no power when it begins, for the full time-out of 1 s, although that machine had connected meanwhile; then another 0.2 s passed.

Change: an accepted connection ends the pending attempt; the time-out of an attempt begins at 250 ms and doubles up to 2 s until a connection is there; the delay after a failed attempt is 100 ms.

--- a/shallotwharf/adapters/link_peers.py
+++ b/shallotwharf/adapters/link_peers.py
@@ -97,13 +97,18 @@
         'queue',
         'connections',
         'task',
+        'opening',
+        'open_timeout_seconds',
         'wakeup',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, open_timeout_seconds: float) -> None:
         self.address: tuple[str, int] | None = None
         self.location = locations.UNKNOWN
         self.queue: list[Queued] = []
         self.connections: list[Opened] = []
         self.task: asyncio.Task[None] | None = None
+        # The attempt to connect that is under way.
+        self.opening: asyncio.Task[None] | None = None
+        self.open_timeout_seconds = open_timeout_seconds
         self.wakeup = asyncio.Event()
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -27,7 +27,11 @@
 
 PROTOCOL: typing.Final = 1
 QUEUE_LIMIT: typing.Final = 512
-_OPEN_TIMEOUT_SECONDS: typing.Final = 1.0
+# A connect to a machine without power hangs, also after it is back, until TCP
+# sends again after a second. Attempts are therefore short at first: a new one
+# finds the machine at once. Three round trips between regions take 75 ms.
+_OPEN_TIMEOUT_SECONDS: typing.Final = 0.25
+_MAX_OPEN_TIMEOUT_SECONDS: typing.Final = 2.0
 # Pings detect an unresponsive peer on an idle connection. When data is sent,
 # the TCP user timeout below detects it, so that a healed partition is not
 # followed by a long retransmission back-off.
@@ -35,7 +39,7 @@
 _USER_TIMEOUT_MS: typing.Final = 3000
 # A stopping process needs no reply; the wait only allows a clean close.
 _CLOSE_TIMEOUT_SECONDS: typing.Final = 0.1
-_REOPEN_DELAY_SECONDS: typing.Final = 0.2
+_REOPEN_DELAY_SECONDS: typing.Final = 0.1
 
 Deliver: typing.TypeAlias = abc.Callable[[messages.Message, str], None]
 
@@ -152,7 +156,7 @@
     def _find_peer(self, name: str) -> link_peers.Peer:
         peer = self._peers.get(name)
         if peer is None:
-            peer = link_peers.Peer()
+            peer = link_peers.Peer(_OPEN_TIMEOUT_SECONDS)
             self._peers[name] = peer
         return peer
 
@@ -160,11 +164,29 @@
         """Send the queued messages of a peer, reconnecting as needed."""
         while not self._closing:
             await peer.wakeup.wait()
-            if not peer.connections and not await self._async_open(name, peer):
-                self._drop_queue(peer)
-                await asyncio.sleep(_REOPEN_DELAY_SECONDS)
+            if not peer.connections:
+                await self._async_find_connection(name, peer)
+            if peer.connections:
+                await self._async_flush(peer)
                 continue
-            await self._async_flush(peer)
+            self._drop_queue(peer)
+            await asyncio.sleep(_REOPEN_DELAY_SECONDS)
+
+    async def _async_find_connection(
+        self,
+        name: str,
+        peer: link_peers.Peer,
+    ) -> None:
+        """Open a connection, unless one from the peer is accepted before."""
+        opening = asyncio.get_running_loop().create_task(
+            self._async_open(name, peer),
+        )
+        peer.opening = opening
+        try:
+            await asyncio.wait({opening})
+        finally:
+            opening.cancel()
+            peer.opening = None
 
     async def _async_flush(self, peer: link_peers.Peer) -> None:
         while peer.queue and peer.connections:
@@ -187,16 +209,16 @@
         peer.queue.clear()
         peer.wakeup.clear()
 
-    async def _async_open(self, name: str, peer: link_peers.Peer) -> bool:
+    async def _async_open(self, name: str, peer: link_peers.Peer) -> None:
         if peer.address is None:
-            return False
+            return
         host, port = peer.address
         try:
             opened = await client.connect(
                 f'ws://{host}:{port}',
                 max_size=codec.MAX_MESSAGE_BYTES,
                 compression=None,
-                open_timeout=_OPEN_TIMEOUT_SECONDS,
+                open_timeout=peer.open_timeout_seconds,
                 ping_interval=_PING_SECONDS,
                 ping_timeout=_PING_SECONDS,
                 proxy=None,
@@ -204,13 +226,16 @@
             await opened.send(codec.encode(self._hello))
         except (OSError, TimeoutError, exceptions.WebSocketException):
             self._counters.add('links.open_failed')
-            return False
+            peer.open_timeout_seconds = min(
+                2 * peer.open_timeout_seconds,
+                _MAX_OPEN_TIMEOUT_SECONDS,
+            )
+            return
         added = link_peers.Opened(opened)
         self._add_connection(name, peer, added)
         asyncio.get_running_loop().create_task(
             self._async_read(name, peer, added),
         )
-        return True
 
     async def _async_accept(self, opened: server.ServerConnection) -> None:
         peer_address = str(opened.remote_address)
@@ -242,6 +267,8 @@
             added.reads_compressed = True
             await opened.send(codec.encode(self._hello))
         self._add_connection(hello.name, peer, added)
+        if peer.opening is not None:
+            peer.opening.cancel()
         await self._async_read(hello.name, peer, added)
 
     def _add_connection(
@@ -252,6 +279,7 @@
     ) -> None:
         _set_user_timeout(opened.socket)
         peer.connections.append(opened)
+        peer.open_timeout_seconds = _OPEN_TIMEOUT_SECONDS
         if len(peer.connections) == 1:
             self._deliver_message(messages.LinkUp(), name)
 
--- a/tests/adapters/test_links.py
+++ b/tests/adapters/test_links.py
@@ -105,6 +105,58 @@
     asyncio.run(async_check())
 
 
+def test_accepted_connection_ends_a_pending_attempt_to_connect():
+    """Guards against messages held for a second after the peer is back.
+
+    A connect to a machine that has no power hangs. Once that machine is back
+    and connects itself, its connection must be used at once.
+    """
+
+    async def async_check():
+        left, right = Endpoint('left'), Endpoint('right')
+        await left.links.async_listen()
+        with socket.socket() as silent:
+            silent.bind(('127.0.0.1', 0))
+            silent.listen()
+            port = silent.getsockname()[1]
+            left.links.set_address('right', '127.0.0.1', port)
+            left.links.send('right', MESSAGE)
+            await asyncio.sleep(0.1)
+            right.links.set_address('left', '127.0.0.1', left.port)
+            right.links.send('left', MESSAGE)
+            async with asyncio.timeout(0.5):
+                await left.async_receive()
+                assert await right.async_receive() == ('left', MESSAGE)
+        await left.links.async_close()
+        await right.links.async_close()
+
+    asyncio.run(async_check())
+
+
+def test_first_attempts_to_connect_are_short():
+    """Guards against one long attempt to connect to a machine without power.
+
+    It is not answered even after the machine is back, until TCP sends again.
+    """
+
+    async def async_check():
+        left = Endpoint('left')
+        with socket.socket() as silent:
+            silent.bind(('127.0.0.1', 0))
+            silent.listen()
+            silent.setblocking(False)
+            port = silent.getsockname()[1]
+            left.links.set_address('right', '127.0.0.1', port)
+            for _ in range(9):
+                left.links.send('right', MESSAGE)
+                await asyncio.sleep(0.1)
+            silent.accept()[0].close()
+            silent.accept()[0].close()
+        await left.links.async_close()
+
+    asyncio.run(async_check())
+
+
 def test_error_names_a_port_that_is_in_use():
     async def async_check():
         left, right = await async_start_pair()
