Reject a call at once if neither its region nor a known slot has room

A full target counted as possibly free again after 100 ms, however far away.

Change: a call refused for lack of room goes on to another region only if a slot there seems to be free, else it is rejected once no target nearby is left to try. In other regions, the time for which a target counts as full doubles with each refusal in a row, up to 1.6 s, and is reset when it serves an attempt.

--- a/shallotwharf/components/call/attempts.py
+++ b/shallotwharf/components/call/attempts.py
@@ -1,10 +1,22 @@
 """State of the attempts of one call, and limits on its retries."""
 
+import enum
+
 from shallotwharf.components.call import const, index
 from shallotwharf.components.tables import route
 from shallotwharf.core import calls
 
 
+class Room(enum.Enum):
+    """Where another attempt of a call may find a free slot."""
+
+    # A target seems to have one.
+    KNOWN = 'known'
+    # None seems to, but one nearby was not tried.
+    POSSIBLE = 'possible'
+    NONE = 'none'
+
+
 class Attempts:
     """Attempts made so far, and the time limits of the call.
 
@@ -49,7 +61,7 @@
         row: route.Route,
         result: calls.Result,
         now: int,
-        is_full: bool,
+        room: Room,
     ) -> str:
         """Return the reason to deny a retry; empty if it is allowed.
 
@@ -61,7 +73,7 @@
             row: route of the call.
             result: result of the last attempt.
             now: clock milliseconds.
-            is_full: whether no target seems to have a free slot.
+            room: where another attempt may find a free slot.
         """
         is_free = (
             not result.reached
@@ -70,7 +82,9 @@
         self._uncounted_refusals += int(is_free)
         if self.sent - self._uncounted_refusals > row.retries:
             return const.DENIED_LIMIT
-        if is_full and self._has_waited_too_long(row, now):
+        if room is Room.NONE:
+            return const.DENIED_FULL
+        if room is Room.POSSIBLE and self._has_waited_too_long(row, now):
             return const.DENIED_HELD
         if self.is_too_late(const.HOP_MARGIN_MS, now):
             return const.DENIED_DEADLINE
--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -4,7 +4,7 @@
 import random
 from collections import abc
 
-from shallotwharf.components.call import index, targets
+from shallotwharf.components.call import attempts, const, index, targets
 from shallotwharf.components.tables import version
 
 ANY_VERSION = version.ANY_VERSION
@@ -74,6 +74,36 @@
     return _find_untried(groups, tried, source, now)
 
 
+def find_room(
+    groups: list[targets.Group],
+    tried: abc.Container[str],
+    now: int,
+) -> attempts.Room:
+    """Return where a call that was refused for lack of room may find some.
+
+    If no target seems to have room, those that were not tried may have some in
+    the region or, without upstreams there, at the distance of the nearest
+    ones. Another region is not worth a try then: the service is overloaded,
+    and the sooner its caller is told so, the sooner it can return.
+    """
+    if any(
+        targets.has_room(target, tried, now)
+        for group in groups
+        for target in group.targets
+    ):
+        return attempts.Room.KNOWN
+    if not groups:
+        return attempts.Room.NONE
+    nearest_ms = max(groups[0].latency_ms, const.REGION_LATENCY_MS)
+    untried = any(
+        target.announcement.node.name not in tried
+        for group in groups
+        if group.latency_ms <= nearest_ms
+        for target in group.targets
+    )
+    return attempts.Room.POSSIBLE if untried else attempts.Room.NONE
+
+
 def _find_untried(
     groups: list[targets.Group],
     tried: abc.Container[str],
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -33,6 +33,7 @@
 DENIED_BUDGET: typing.Final = 'budget'
 DENIED_DEADLINE: typing.Final = 'deadline'
 DENIED_HELD: typing.Final = 'held'
+DENIED_FULL: typing.Final = 'full'
 DENIED_RAN_TWICE: typing.Final = 'ran_twice'
 
 # Deadline margin per hop: a hop must time out before its caller does, and
@@ -98,3 +99,6 @@
 # A target without spare slots counts as full for this time only: with ten
 # slots and runs of about 100 ms, a slot becomes free about every 10 ms.
 FULL_LIFETIME_MS: typing.Final = 100
+# In another region a request and its refusal cost far more than in this one, so
+# the time doubles there with each refusal in a row, up to this limit.
+MAX_REMOTE_FULL_MS: typing.Final = 1600
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -149,11 +149,10 @@
             target.mark_unreached(now)
             return target
         target.mark_reached()
-        if result.outcome == calls.OUTCOME_REFUSED:
-            target.avoid_until = now + const.AVOID_MS.get(
-                result.reason,
-                const.AVOID_REFUSED_MS,
-            )
+        if result.outcome == calls.OUTCOME_ANSWERED:
+            target.mark_served()
+        elif result.outcome == calls.OUTCOME_REFUSED:
+            target.mark_refused(result.reason, now)
         return target
 
     def _observe(
@@ -188,14 +187,14 @@
             self._read_entry().row,
             result,
             now,
-            result.reason in const.FULL_REASONS and self._is_full(now),
+            self._find_room(result, now),
         )
 
-    def _is_full(self, now: int) -> bool:
-        return not any(
-            targets.has_room(target, self._tried, now)
-            for group in self._find_groups(self._version)
-            for target in group.targets
+    def _find_room(self, result: calls.Result, now: int) -> attempts.Room:
+        if result.reason not in const.FULL_REASONS:
+            return attempts.Room.KNOWN
+        return chooser.find_room(
+            self._find_groups(self._version), self._tried, now
         )
 
     def _find_groups(self, version: str) -> list[targets.Group]:
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -34,6 +34,7 @@
         '_spare',
         '_spare_at',
         '_spare_until',
+        '_full_ms',
         '_backoff_ms',
     )
 
@@ -52,6 +53,8 @@
         self._spare = announcement.spare
         self._spare_at = now
         self._spare_until = 0
+        # Time for which the target counts as full once it has no spare slot.
+        self._full_ms = const.FULL_LIFETIME_MS
         self._backoff_ms = 0
 
     def update(self, announcement: membership.Announcement, now: int) -> None:
@@ -73,6 +76,20 @@
         self._set_spare(spare, now)
         self._spare_until = now + const.SPARE_LIFETIME_MS
 
+    def mark_refused(self, reason: str, now: int) -> None:
+        """Avoid the target for a time that depends on the reason."""
+        self.avoid_until = now + const.AVOID_MS.get(
+            reason,
+            const.AVOID_REFUSED_MS,
+        )
+        is_distant = self.latency_ms > const.REGION_LATENCY_MS
+        if is_distant and reason in const.FULL_REASONS:
+            self._full_ms = min(2 * self._full_ms, const.MAX_REMOTE_FULL_MS)
+
+    def mark_served(self) -> None:
+        """Record that the target had room."""
+        self._full_ms = const.FULL_LIFETIME_MS
+
     def mark_reached(self) -> None:
         """Reset the avoidance period, because the node responded."""
         self._backoff_ms = 0
@@ -88,12 +105,12 @@
     def estimate_spare(self, now: int) -> int:
         """Return the last known spare slots minus attempts started since.
 
-        Announcements of load are seconds apart, so a target that was full
-        `const.FULL_LIFETIME_MS` ago is assumed to have one free slot: one
-        attempt at a time tests it.
+        Announcements of load are seconds apart, so a target that was full is
+        assumed to have one free slot after a while: one attempt at a time
+        tests it.
         """
         spare = self._spare
-        if now - self._spare_at >= const.FULL_LIFETIME_MS:
+        if now - self._spare_at >= self._full_ms:
             spare = max(spare, 1)
         started = self.in_flight - self._in_flight_at_spare
         return min(spare - started, self.announcement.slots)
--- a/tests/components/call/test_budget.py
+++ b/tests/components/call/test_budget.py
@@ -85,6 +85,33 @@
     assert given_up.retry_after_ms == 200 // 3
 
 
+def test_call_without_room_in_its_region_is_rejected_at_once():
+    """Guards against attempts in other regions that are known to be full.
+
+    The load: every slot of the service is taken, everywhere.
+    """
+    plan = build_aimed_plan(
+        build.build_row('near', spare=0),
+        build.build_row('next', 'd2', spare=0),
+        *(build.build_row(f'far{n}', 'd9', 'r9', spare=0) for n in range(5)),
+    )
+    full = calls.Result(calls.OUTCOME_REFUSED, 'slots_full', spare=0)
+    assert plan.start(0).host
+    assert isinstance(plan.resume(full, 1), calls.Forward)
+    rejected = plan.resume(full, 4)
+    assert isinstance(rejected, calls.Respond) and rejected.not_run
+    assert rejected.retry_after_ms
+
+
+def test_call_without_room_in_its_region_goes_where_there_is_some():
+    """Guards against a rejection while a slot is known to be free."""
+    plan = build_aimed_plan(
+        build.build_row('near', spare=0), build.build_row('far', 'd9', 'r9')
+    )
+    plan.start(0)
+    assert plan._target.announcement.node.name == 'far'
+
+
 @pytest.mark.parametrize(
     ('path', 'status', 'at', 'is_sent_again'),
     [
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -136,3 +136,27 @@
     assert trial._target.announcement.node.name == 'near'
     # Only one attempt at a time tests a target that was full.
     assert find_chosen(made, 120) == 'far'
+
+
+@pytest.mark.parametrize(('region', 'most'), [('r1', 100), ('r9', 10)])
+def test_full_targets_of_other_regions_are_tried_ever_less(region, most):
+    """Guards against an overloaded service that is asked across regions.
+
+    The load: one target that stays full for 10 s, and calls all the time.
+    """
+    made = build.build_router(build.build_row('only', 'd9', region, spare=0))
+    full = calls.Result(calls.OUTCOME_REFUSED, 'slots_full', spare=0)
+    target = made.directory.find_target('only')
+    tried = 0
+    for now in range(0, 10_000, 10):
+        if target.estimate_spare(now) > 0:
+            plan = made.plan(calls.Request('GET', '/'))
+            plan.start(now)
+            plan.resume(full, now)
+            tried += 1
+    assert most / 2 < tried <= most
+    # Room that it has again is used at once.
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(10_000)
+    plan.resume(calls.Result(calls.OUTCOME_ANSWERED, '', 200, spare=4), 10_000)
+    assert target.estimate_spare(10_001) == 4
