Send commands again while no control process leads

Cause: an operator's command tried each process once. A response without JSON ended it as well.

Change: reads and edits, whose request id makes a repetition harmless, are sent again for up to 10 s while every process answers 503; other changes are sent once as before. After a response without JSON the next process is tried.

Result: the tests fail before (status 503, ProtocolError) and pass after.

--- a/shallotwharf/cli/client.py
+++ b/shallotwharf/cli/client.py
@@ -2,6 +2,7 @@
 
 import functools
 import json
+import time
 import typing
 from collections import abc
 from urllib import parse as url_parse
@@ -15,6 +16,10 @@
 _REQUEST_SECONDS: typing.Final = 15
 _STEP: typing.Final = 'client.request'
 _HTTP_UNAVAILABLE: typing.Final = 503
+# An election takes up to 2 s, and longer while the processes get little
+# processor time.
+_RETRY_SECONDS: typing.Final = 10.0
+_FIRST_PAUSE_SECONDS: typing.Final = 0.2
 
 
 class Reply(records.Record):
@@ -30,9 +35,10 @@
 class Client:
     """Client that tries several processes in order until one responds.
 
-    After a response with status 503 the next process is tried, because it may
-    have found the leader. A resent edit keeps its request id, so it is applied
-    only once.
+    After a response with status 503, or one that is not of a control process,
+    the next process is tried, because it may have found the leader. If all
+    are unavailable, reads and edits are sent again for some seconds; an edit
+    keeps its request id, so that it is applied only once.
     """
 
     __slots__ = ('_addresses',)
@@ -48,8 +54,8 @@
         """Return the response to a GET request.
 
         Raises:
-            ExceptionGroup: of `LinkError`, if no process responds.
-            ProtocolError: if a response has no JSON body.
+            ExceptionGroup: of `LinkError` and `ProtocolError`, if no process
+                responds with a JSON body.
         """
         encoded = url_parse.urlencode(
             {
@@ -58,18 +64,32 @@
                 if part is not None
             },
         )
-        return self._request(
-            'GET', f'{path}?{encoded}' if encoded else path, None
-        )
+        target = f'{path}?{encoded}' if encoded else path
+        return self._repeat('GET', target, None)
 
     def write(self, path: str, document: dict[str, typing.Any]) -> Reply:
         """Return the response to a POST request with a JSON body.
 
         Raises:
-            ExceptionGroup: of `LinkError`, if no process responds.
-            ProtocolError: if a response has no JSON body.
+            ExceptionGroup: of `LinkError` and `ProtocolError`, if no process
+                responds with a JSON body.
         """
-        return self._request('POST', path, json.dumps(document))
+        send = self._repeat if 'request_id' in document else self._request
+        return send('POST', path, json.dumps(document))
+
+    def _repeat(self, method: str, path: str, body: str | None) -> Reply:
+        """Return the first response that is not 503, or the last one."""
+        ends_at = time.monotonic() + _RETRY_SECONDS
+        pause_seconds = _FIRST_PAUSE_SECONDS
+        reply = self._request(method, path, body)
+        while (
+            reply.status == _HTTP_UNAVAILABLE
+            and time.monotonic() + pause_seconds < ends_at
+        ):
+            time.sleep(pause_seconds)
+            pause_seconds *= 2
+            reply = self._request(method, path, body)
+        return reply
 
     def _request(self, method: str, path: str, body: str | None) -> Reply:
         failures: list[Exception] = []
@@ -77,7 +97,7 @@
         for address in self._addresses:
             try:
                 last = _run(method, f'http://{address}{path}', body)
-            except errors.LinkError as error:
+            except (errors.LinkError, errors.ProtocolError) as error:
                 failures.append(error)
             if last is not None and last.status != _HTTP_UNAVAILABLE:
                 return last
--- a/tests/cli/test_client.py
+++ b/tests/cli/test_client.py
@@ -1,6 +1,7 @@
 """Guards against a command that fails because one control process is down."""
 
 import asyncio
+import socket
 import threading
 
 import pytest
@@ -17,12 +18,23 @@
     loop = asyncio.new_event_loop()
     started = threading.Event()
 
+    unavailable = iter([503, 503])
+
     async def async_reply(_request):
         return admin.AdminReply(200, {'name': 'live'})
 
+    async def async_elect(_request):
+        return admin.AdminReply(next(unavailable, 200), {})
+
     async def async_serve():
         admin.AdminServer(
-            processes.HOST, port, {('GET', '/health'): async_reply}
+            processes.HOST,
+            port,
+            {
+                ('GET', '/health'): async_reply,
+                ('POST', '/edits'): async_elect,
+                ('POST', '/members'): async_elect,
+            },
         ).listen()
         started.set()
         await asyncio.Event().wait()
@@ -56,3 +68,38 @@
     assert len(caught.value.exceptions) == 2
     assert isinstance(caught.value.exceptions[0], errors.LinkError)
     assert unreachable in caught.value.exceptions[0].peer
+
+
+def test_edit_is_sent_again_while_there_is_no_leader(live_port):
+    """Guards against a command that fails because of an election."""
+    control_client = client.Client([f'{processes.HOST}:{live_port}'])
+    edit = {'request_id': 'x', 'base': 0}
+    assert control_client.write('/edits', edit).status == 200
+
+
+def test_change_without_a_request_id_is_sent_once(live_port):
+    """Guards against a change that is made twice."""
+    control_client = client.Client([f'{processes.HOST}:{live_port}'])
+    assert control_client.write('/members', {'name': 'x'}).status == 503
+
+
+def test_next_address_is_tried_after_a_response_without_json(live_port):
+    """Guards against a command that ends at a proxy or another service."""
+    with socket.socket() as other:
+        other.bind((processes.HOST, 0))
+        other.listen()
+        thread = threading.Thread(target=answer_in_plain_text, args=(other,))
+        thread.start()
+        port = other.getsockname()[1]
+        control_client = client.Client(
+            [f'{processes.HOST}:{port}', f'{processes.HOST}:{live_port}']
+        )
+        assert control_client.read('/health').body == {'name': 'live'}
+        thread.join()
+
+
+def answer_in_plain_text(listening):
+    accepted, _ = listening.accept()
+    with accepted:
+        accepted.recv(4096)
+        accepted.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi')
