Refuse a move of a pool with several weighted versions

Cause: an ordered move has one old version. For a pool with several, the heaviest counted as the old one, and the others were left without traffic.

Change: such an order is refused with the name of the pool. Also removes a field that is never read, says what becomes of rows beyond the limit of a slice, and makes the digest of members independent of the names of their fields.

Result: the new test fails before (the order is accepted) and passes after.

--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -237,6 +237,9 @@
         current = self.current
         if all(row.service != command.service for row in current.tables.pools):
             return answers.refuse(const.REASON_UNKNOWN_SERVICE, command.service)
+        split = moves.find_split_pool(current.tables, command.service)
+        if split:
+            return answers.refuse(const.REASON_SEVERAL_VERSIONS, split)
         ordered = moves.build_ordered_moves(current, command)
         if not ordered:
             return messages.EditAccepted(
--- a/shallotwharf/components/ledger/moves.py
+++ b/shallotwharf/components/ledger/moves.py
@@ -43,6 +43,18 @@
     )
 
 
+def find_split_pool(tables: version.Tables, service: str) -> str:
+    """Return a pool of a service with several weighted versions, or ''.
+
+    A move has one old version; the others would get no calls.
+    """
+    for row in tables.pools:
+        weighted = [name for name, weight in row.weights.items() if weight]
+        if row.service == service and len(weighted) > 1:
+            return row.name
+    return ''
+
+
 def _is_repetition(
     existing: version.Move | None,
     command: messages.OrderMove,
@@ -171,9 +183,7 @@
 
 
 def _find_served_version(row: pool.Pool) -> str:
-    # A pool with a declared move has one version with all the weight, or no
-    # weights. A pool with an ordered move may have several; the version with
-    # the highest weight counts.
+    # A pool that moves has one version with all the weight, or no weights.
     return max(
         row.weights,
         key=lambda name: (row.weights[name], name),
--- a/shallotwharf/components/membership/local_entries.py
+++ b/shallotwharf/components/membership/local_entries.py
@@ -10,14 +10,13 @@
     the epoch, so that those of a restarted process are higher.
     """
 
-    __slots__ = ('state', '_generation', '_load_number', '_load_at', '_pending')
+    __slots__ = ('state', '_generation', '_load_number', '_load_at')
 
     def __init__(self, member: messages.Member, run: int) -> None:
         self.state = wire.MemberState(member, run, 0, const.STATUS_ALIVE)
         self._generation = run
         self._load_number = run // 1000
         self._load_at: int | None = None
-        self._pending: messages.Announcement | None = None
 
     def refute(self, claimed: wire.MemberState) -> bool:
         """Replace the state of this node if `claimed` is newer.
--- a/shallotwharf/components/membership/reporter.py
+++ b/shallotwharf/components/membership/reporter.py
@@ -78,8 +78,11 @@
 
 
 def compute_digest(members: tuple[messages.Member, ...]) -> int:
-    """Return a digest of members and their addresses."""
+    """Return a digest of members and their addresses.
+
+    It depends on the values only, so that renamed fields do not change it.
+    """
     digest = 0
     for member in members:
-        digest ^= zlib.crc32(repr(member).encode())
+        digest ^= zlib.crc32(repr(member.read_fields()).encode())
     return digest
--- a/shallotwharf/components/move/evidence.py
+++ b/shallotwharf/components/move/evidence.py
@@ -69,7 +69,11 @@
 
 
 class Slice:
-    """Sums by route; at most `const.MAX_ROUTES` and the overall row."""
+    """Sums by route; at most `const.MAX_ROUTES` and the overall row.
+
+    Rows of further routes are dropped. Their calls still count, since each
+    sender includes them in its overall row.
+    """
 
     __slots__ = ('_rows',)
 
--- a/tests/components/ledger/test_revisions.py
+++ b/tests/components/ledger/test_revisions.py
@@ -129,6 +129,17 @@
     assert isinstance(refused, messages.EditRefused)
 
 
+def test_move_of_a_pool_with_several_versions_is_refused():
+    """Guards against versions that lose their traffic when a move begins."""
+    driver = LedgerDriver()
+    order = build_order(3, 0)
+    split = pool.Pool('p', 's', {'v1': 60, 'v3': 40})
+    driver.commit(order.replace(tables=order.tables.replace(pools=(split,))))
+    refused = driver.commit(messages.OrderMove('s', 'v2', 12_000, 100))
+    assert refused == messages.EditRefused('several_versions', 'p')
+    assert not driver.ledger.current.moves
+
+
 ROWS = strategies.dictionaries(
     strategies.sampled_from('abcdef'),
     strategies.integers(1, 3),
