Give the room of an overloaded service to calls that can be in time

Cause: callers were told to return after a third of the aim.

Change: components/call/timing.py keeps the longest deadline and the mean run time of each route. The age of a call is how much shorter its deadline is. Retry-After is half of the slack that is left, so that callers who return can still be in time. A call of the least urgent route of its pool that is late whatever happens is rejected at once while no target seems to have room. The steps of an attempt and its description move out of plan.py.

--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -10,6 +10,8 @@
 REASON_UNKNOWN_ROUTE: typing.Final = 'unknown_route'
 REASON_NO_UPSTREAM: typing.Final = 'no_upstream'
 REASON_DEADLINE: typing.Final = 'deadline_too_short'
+# The call would miss its latency target, and no target seems to have room.
+REASON_LATE: typing.Final = 'late_without_room'
 REASON_KEY: typing.Final = 'idempotency_key_missing'
 REASON_FORWARDED: typing.Final = 'forwarded_header_invalid'
 
@@ -89,10 +91,6 @@
 UNRESPONSIVE_OUTCOMES: typing.Final = frozenset(
     (calls.OUTCOME_UNREACHED, calls.OUTCOME_LATE),
 )
-# Largest `Retry-After` of a refusal. A route with a latency target uses a third
-# of that target, so that a second attempt can still be in time.
-RETRY_AFTER_MS: typing.Final = 1000
-RETRY_AFTER_DIVISOR: typing.Final = 3
 # For this time after a response reported the spare slots, announced values are
 # ignored, because they are older.
 SPARE_LIFETIME_MS: typing.Final = 1000
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -4,7 +4,7 @@
 import random
 from collections import abc as abc_collections
 
-from shallotwharf.components.call import index, sizes, targets
+from shallotwharf.components.call import index, sizes, targets, timing
 from shallotwharf.core import call_interfaces
 
 
@@ -17,6 +17,7 @@
         random: random number generator of all choices.
         observer: receives the result of each attempt.
         sizes: mean response sizes by route.
+        timings: deadlines and run times by route.
     """
 
     __slots__ = ()
@@ -26,6 +27,7 @@
     random: random.Random
     observer: call_interfaces.Observer
     sizes: sizes.ResponseSizes
+    timings: timing.Timings
 
     @abc.abstractmethod
     def find_route(
--- a/shallotwharf/components/call/index.py
+++ b/shallotwharf/components/call/index.py
@@ -19,9 +19,18 @@
         shares: versions with traffic and their shares in hundredths of a
             per cent; they need not add up to `FULL_SHARE`.
         excluded: versions that `version.ANY_VERSION` does not include.
+        last_rank: rank of the least urgent route that uses it.
     """
 
-    __slots__ = ('row', 'move', 'budget', 'fenced', 'shares', 'excluded')
+    __slots__ = (
+        'row',
+        'move',
+        'budget',
+        'fenced',
+        'shares',
+        'excluded',
+        'last_rank',
+    )
 
     def __init__(
         self,
@@ -33,6 +42,7 @@
         self.row = row
         self.move = move
         self.budget = retry_budget
+        self.last_rank = 0
         self.apply_fences(fenced)
 
     def apply_fences(self, fenced: frozenset[str]) -> None:
@@ -82,6 +92,8 @@
         self.rank = row.rank
         self._pools = [pools[name] for name in row.list_pools()]
         self._weights = list(row.shares.values())
+        for entry in self._pools:
+            entry.last_rank = max(entry.last_rank, self.rank)
 
     @property
     def pool(self) -> PoolEntry:
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -1,7 +1,5 @@
 """Plan of a call at the node that selects the upstream."""
 
-import uuid
-
 from shallotwharf.components.call import (
     attempts,
     chooser,
@@ -9,11 +7,11 @@
     context,
     index,
     rules,
+    steps,
     targets,
+    timing,
 )
-from shallotwharf.core import call_interfaces, calls
-
-_KEY_UUID_VERSION = 7
+from shallotwharf.core import call_interfaces, calls, identifiers
 
 
 class CallPlan(call_interfaces.Plan):
@@ -27,6 +25,8 @@
         '_context',
         '_request',
         '_entry',
+        '_timing',
+        '_age_ms',
         '_pool',
         '_call_id',
         '_attempts',
@@ -43,6 +43,9 @@
         self._context = call_context
         self._request = request
         self._entry: index.RouteEntry | None = None
+        self._timing = timing.RouteTiming()
+        # Time that the caller had waited before this call.
+        self._age_ms = 0
         self._pool: index.PoolEntry | None = None
         self._call_id = ''
         self._attempts = attempts.Attempts()
@@ -64,6 +67,8 @@
         if entry is None:
             return self._respond_unmatched()
         self._entry = entry
+        self._timing = self._context.timings.find(entry.row.name)
+        self._age_ms = self._timing.record_deadline(request.deadline_ms, now)
         self._pool = entry.pick_pool(self._context.random)
         limit_ms = entry.row.timeout_ms
         if request.deadline_ms is not None:
@@ -74,7 +79,7 @@
             self._pool.budget.record_call()
         if not entry.row.once_only:
             return self._choose(now)
-        if not _is_idempotency_key(request.key):
+        if not identifiers.is_identifier(request.key):
             return self._respond(const.STATUS_BAD_REQUEST, const.REASON_KEY)
         return calls.Guard(self._attempts.deadline_at)
 
@@ -216,8 +221,14 @@
         )
         target = None
         if version is not None:
+            groups = self._find_groups(version)
+            if self._should_give_way(groups, now):
+                return self._respond(
+                    const.STATUS_UNAVAILABLE,
+                    const.REASON_LATE,
+                )
             target = chooser.choose_target(
-                self._find_groups(version),
+                groups,
                 self._tried,
                 call_context.random,
                 now,
@@ -230,6 +241,20 @@
         self._version = target.announcement.version
         return self._send(target, now)
 
+    def _should_give_way(self, groups: list[targets.Group], now: int) -> bool:
+        """Return whether to leave scarce room to calls that can be in time.
+
+        Only calls of the least urgent routes of a pool do so: the room would
+        go to less urgent ones otherwise.
+        """
+        row = self._read_entry().row
+        if self._attempts.sent or row.rank < self._read_pool().last_rank:
+            return False
+        if not self._timing.is_late(row, self._age_ms):
+            return False
+        room = chooser.find_room(groups, self._tried, now)
+        return room is not attempts.Room.KNOWN
+
     def _send(self, target: targets.Target, now: int) -> calls.Step:
         margin_ms = const.HOP_MARGIN_MS + target.latency_ms
         if self._attempts.is_too_late(margin_ms, now):
@@ -243,42 +268,14 @@
         self._sent_at = now
         self._target = target
         target.in_flight += 1
+        attempt = f'{self._call_id}.{self._attempts.sent}'
+        rank = self._read_entry().rank
         if target.announcement.node.name == self._context.local_node:
-            return self._build_enter(target)
-        return self._build_forward(target, margin_ms, now)
-
-    def _build_enter(self, target: targets.Target) -> calls.Step:
-        return calls.Enter(
-            f'{self._call_id}.{self._attempts.sent}',
-            self._read_entry().rank,
-            target.announcement.service,
-            target.announcement.version,
-            self._attempts.deadline_at - const.HOP_MARGIN_MS,
-            self._attempts.start_by,
-            self._is_retry(),
-        )
-
-    def _build_forward(
-        self,
-        target: targets.Target,
-        margin_ms: int,
-        now: int,
-    ) -> calls.Step:
-        row = target.announcement
-        start_ms = 0
-        if self._attempts.start_by != const.NO_LIMIT_AT:
-            start_ms = max(
-                self._attempts.start_by - now - const.START_MARGIN_MS, 1
+            return steps.build_enter(
+                attempt, rank, target, self._attempts, self._is_retry()
             )
-        rank = self._read_entry().rank
-        return calls.Forward(
-            f'{self._call_id}.{self._attempts.sent}',
-            row.node.host,
-            row.node.call_port,
-            f'{rank} {row.service} {row.version} {start_ms}',
-            self._attempts.deadline_at,
-            margin_ms,
-            self._is_retry(),
+        return steps.build_forward(
+            attempt, rank, target, self._attempts, self._is_retry(), now
         )
 
     def _handle_response(
@@ -290,6 +287,7 @@
         """Relay a response, or retry after a server error."""
         row = self._read_entry().row
         self._context.sizes.record(row.name, result.size)
+        self._timing.record_run(now - self._sent_at)
         self._report_response(result, now, target)
         limits = self._read_pool().budget.limits
         fails = result.status >= const.STATUS_SERVER_ERROR
@@ -323,21 +321,21 @@
         reason: str,
     ) -> None:
         """Log the end of an attempt with the values behind the decision."""
-        announced = target.announcement
+        described = steps.describe_attempt(
+            f'{self._call_id}.{self._attempts.sent}',
+            target,
+            self._attempts,
+            self._sent_at,
+            now,
+        )
         self._context.report(
             event,
             {
                 'id': self._request.label,
-                'call': f'{self._call_id}.{self._attempts.sent}',
                 'route': self._read_entry().row.name,
-                'node': announced.node.name,
-                'served': announced.version,
                 'reason': reason,
-                'attempt_ms': now - self._sent_at,
-                'call_ms': now - self._attempts.began_at,
-                'left_ms': self._attempts.deadline_at - now,
-                'spare': target.estimate_spare(now),
-                'generation': announced.generation,
+                'age_ms': self._age_ms,
+                **described,
             },
         )
 
@@ -376,6 +374,7 @@
                 'status': status,
                 'reason': reason,
                 'not_run': not self._attempts.may_have_run,
+                'age_ms': self._age_ms,
                 'attempts': self._attempts.sent,
                 'reached': self._attempts.arrivals,
             },
@@ -391,14 +390,6 @@
         )
 
     def _find_retry_after(self) -> int:
-        aim_ms = self._entry.row.aim_ms if self._entry else 0
-        if not aim_ms:
-            return const.RETRY_AFTER_MS
-        return min(aim_ms // const.RETRY_AFTER_DIVISOR, const.RETRY_AFTER_MS)
-
-
-def _is_idempotency_key(key: str) -> bool:
-    try:
-        return uuid.UUID(key).version == _KEY_UUID_VERSION
-    except ValueError:
-        return False
+        if self._entry is None:
+            return timing.MAX_RETRY_AFTER_MS
+        return self._timing.find_retry_after(self._entry.row, self._age_ms)
--- a/shallotwharf/components/call/router.py
+++ b/shallotwharf/components/call/router.py
@@ -15,6 +15,7 @@
     plan,
     sizes,
     targets,
+    timing,
 )
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.move import messages as move
@@ -36,6 +37,7 @@
         'random',
         'observer',
         'sizes',
+        'timings',
         '_id_prefix',
         '_call_count',
         '_version',
@@ -80,6 +82,7 @@
         self.random = source
         self.observer = observer
         self.sizes = sizes.ResponseSizes()
+        self.timings = timing.Timings()
         self._id_prefix = id_prefix
         self._call_count = 0
         self._version = version.EMPTY
@@ -117,6 +120,7 @@
         if self._first_applied_at is None and applied.number:
             self._first_applied_at = now
         self._version = applied
+        self.timings.retain(applied.tables.routes)
         return []
 
     def apply_announcements(
--- /dev/null
+++ b/shallotwharf/components/call/timing.py
@@ -0,0 +1,99 @@
+"""Deadlines and run times of the calls of each route.
+
+Callers that were rejected return with what is left of their time. The age of a
+call is how much shorter its deadline is than that of a new call of its route.
+"""
+
+import typing
+
+from shallotwharf.components.tables import route
+
+# A caller that changes its deadline is followed within two of these periods.
+_PERIOD_MS: typing.Final = 10_000
+# Weight of one response in the mean run time.
+_RUN_WEIGHT: typing.Final = 0.05
+_RETRY_AFTER_DIVISOR: typing.Final = 3
+_MIN_RETRY_AFTER_MS: typing.Final = 20
+# Also the wait that callers are told where no latency target is known.
+MAX_RETRY_AFTER_MS: typing.Final = 1000
+
+
+class RouteTiming:
+    """Longest deadline of recent calls of a route, and their run time.
+
+    Attributes:
+        run_ms: mean time from an attempt to its response; 0 if unknown.
+    """
+
+    __slots__ = ('run_ms', '_longest_ms', '_previous_ms', '_period_began_at')
+
+    def __init__(self) -> None:
+        self.run_ms: float = 0
+        self._longest_ms = 0
+        self._previous_ms = 0
+        self._period_began_at = 0
+
+    def record_deadline(self, deadline_ms: int | None, now: int) -> int:
+        """Record the deadline of a call, and return its age.
+
+        Without a deadline, the age is 0.
+        """
+        if deadline_ms is None:
+            return 0
+        if now - self._period_began_at >= _PERIOD_MS:
+            self._previous_ms = self._longest_ms
+            self._longest_ms = 0
+            self._period_began_at = now
+        self._longest_ms = max(self._longest_ms, deadline_ms)
+        return max(self._longest_ms, self._previous_ms) - deadline_ms
+
+    def record_run(self, duration_ms: int) -> None:
+        """Record the duration of an attempt that was answered."""
+        if not self.run_ms:
+            self.run_ms = duration_ms
+        self.run_ms += _RUN_WEIGHT * (duration_ms - self.run_ms)
+
+    def is_late(self, row: route.Route, age_ms: int) -> bool:
+        """Return whether a call misses its target even if it runs at once.
+
+        Run times vary, so half of the mean is assumed.
+        """
+        return bool(row.aim_ms) and age_ms + self.run_ms / 2 > row.aim_ms
+
+    def find_retry_after(self, row: route.Route, age_ms: int) -> int:
+        """Return when a rejected caller should return, in milliseconds.
+
+        Half of what is left until the call must run is kept for another
+        rejection. A caller that is late anyway stays away for the time of the
+        target, so that others meet theirs.
+        """
+        if not row.aim_ms:
+            return MAX_RETRY_AFTER_MS
+        if self.is_late(row, age_ms):
+            return min(row.aim_ms, MAX_RETRY_AFTER_MS)
+        slack_ms = row.aim_ms - age_ms - self.run_ms
+        wait_ms = min(row.aim_ms // _RETRY_AFTER_DIVISOR, int(slack_ms / 2))
+        return min(max(wait_ms, _MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+
+
+class Timings:
+    """Timing by route; kept when a new version is applied."""
+
+    __slots__ = ('_routes',)
+
+    def __init__(self) -> None:
+        self._routes: dict[str, RouteTiming] = {}
+
+    def find(self, name: str) -> RouteTiming:
+        """Return the timing of a route."""
+        found = self._routes.get(name)
+        if found is None:
+            found = RouteTiming()
+            self._routes[name] = found
+        return found
+
+    def retain(self, rows: tuple[route.Route, ...]) -> None:
+        """Drop the timings of routes that are not listed."""
+        names = {row.name for row in rows}
+        for name in self._routes.keys() - names:
+            self._routes.pop(name)
--- a/shallotwharf/core/identifiers.py
+++ b/shallotwharf/core/identifiers.py
@@ -39,3 +39,11 @@
     if parsed.version != _VERSION or str(parsed) != identifier:
         raise ValueError(f'{identifier!r:.60} is not a canonical UUIDv7')
     return parsed.int >> _TIME_SHIFT_BITS
+
+
+def is_identifier(text: str) -> bool:
+    """Return whether a text is a UUIDv7, in any form of writing."""
+    try:
+        return uuid.UUID(text).version == _VERSION
+    except ValueError:
+        return False
