Serve requests that arrive on kept connections in the moment of a stop

Cause: a stopping node closed its kept connections as soon as no call ran. A request that was in the buffers of a connection, but not read yet, was reset.

Change: connections are closed once no call has run for three polls (60 ms).

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -21,6 +21,9 @@
 _PIPELINE_LIMIT_BYTES: typing.Final = 65_536
 _BACKLOG: typing.Final = 1024
 _CLOSE_POLL_SECONDS: typing.Final = 0.02
+# Polls without a running exchange before kept connections are closed: a request
+# may be on its way through the buffers of the connection.
+_QUIET_POLLS: typing.Final = 3
 _CONTINUE: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _BAD_REQUEST: typing.Final = calls.Respond(
     http.HTTPStatus.BAD_REQUEST,
@@ -102,6 +105,8 @@
     async def async_close(self, limit_seconds: float) -> bool:
         """Stop listening and wait for running exchanges to finish.
 
+        Requests that have arrived but were not read yet are served, too.
+
         Returns whether all of them finished within the limit.
         """
         self.closing = True
@@ -109,8 +114,10 @@
             self._server.close()
         loop = asyncio.get_running_loop()
         end = loop.time() + limit_seconds
-        while self.services.active and loop.time() < end:
+        quiet_polls = 0
+        while quiet_polls < _QUIET_POLLS and loop.time() < end:
             await asyncio.sleep(_CLOSE_POLL_SECONDS)
+            quiet_polls = 0 if self.services.active else quiet_polls + 1
         finished = not self.services.active
         for connection in list(self._connections):
             connection.close()
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -412,6 +412,61 @@
     assert len(raw.requests) == 1
 
 
+@on_loop
+async def test_request_that_crosses_a_planned_stop_is_answered():
+    """Guards against requests that are cut off because they were not read yet.
+
+    They arrive on kept connections, in the moment of the stop and while other
+    calls still run.
+    """
+    started = asyncio.Event()
+
+    async def answer_later(head):
+        started.set()
+        await asyncio.sleep(0.2)
+        return OK
+
+    nodes, raw = await async_build(answer_later)
+    text = build_request('GET', '/').replace(b'Connection: close\r\n', b'')
+    kept = [
+        await asyncio.open_connection(callnodes.HOST, nodes[0].port)
+        for _ in range(5)
+    ]
+    for reader, writer in kept:
+        writer.write(text)
+        await reader.readuntil(b'ok')
+    started.clear()
+    kept[0][1].write(text)
+    await started.wait()
+    for _, writer in kept[1:3]:
+        writer.write(text)
+    closing = asyncio.ensure_future(nodes[0].server.async_close(5))
+    await asyncio.sleep(0.19)
+    for _, writer in kept[3:]:
+        writer.write(text)
+    for reader, _ in kept:
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'ok')
+    assert await closing
+
+
+@on_loop
+async def test_request_that_arrives_when_nothing_runs_is_answered_at_a_stop():
+    """Guards against a kept connection that is closed with a request in it."""
+    nodes, _ = await async_build(OK)
+    text = build_request('GET', '/').replace(b'Connection: close\r\n', b'')
+    reader, writer = await asyncio.open_connection(
+        callnodes.HOST, nodes[0].port
+    )
+    writer.write(text)
+    await reader.readuntil(b'ok')
+    writer.write(text)
+    closing = asyncio.ensure_future(nodes[0].server.async_close(5))
+    answer = await reader.read()
+    assert answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'ok')
+    assert await closing
+
+
 @on_loop
 async def test_queue_admits_in_order_and_refusals_did_not_run():
     nodes, raw = await async_build(
