Propose a whole revision with a compressed document

Cause: since documents are stored as they were sent, a whole order of thousands of routes came near the limit of a command (2 MiB) sooner than before.

Change: a revision that is proposed whole, or that adds more than 64 KiB to its document, has a compressed document, which is expanded when it is accepted.

Result: 3,000 routes added at once are proposed with less than a quarter of the document's bytes and read back as sent (test).

--- a/shallotwharf/components/ledger/ledger.py
+++ b/shallotwharf/components/ledger/ledger.py
@@ -207,7 +207,7 @@
         target = moves.derive_version(self.current, command.tables)
         detail = f'revision={command.tables.revision} base={command.base}'
         accepted = self._accept(command, const.KIND_EDIT, target, detail)
-        self.orders.add(command, accepted)
+        self.orders.add(revisions.expand_document(command), accepted)
         return accepted
 
     def _change_revision(
--- a/shallotwharf/components/ledger/revisions.py
+++ b/shallotwharf/components/ledger/revisions.py
@@ -5,12 +5,19 @@
 """
 
 import typing
+import zlib
 from collections import abc
 
 from shallotwharf.components.ledger import messages
 from shallotwharf.components.tables import pool, route, version
 from shallotwharf.core import patches, records
 
+# A document that changes by more than this is sent whole, compressed: a command
+# has a limit of size.
+_MAX_ADDED_BYTES: typing.Final = 65_536
+# First byte of a zlib stream; no text of a document begins like that.
+_ZLIB_MARK: typing.Final = b'\x78'
+
 _RowT = typing.TypeVar('_RowT', route.Route, pool.Pool)
 
 
@@ -42,13 +49,18 @@
 ) -> messages.ApplyRevision | messages.ChangeRevision:
     """Return a revision as a change of its base, if that is in force.
 
-    Tables with two rows of a name are not valid and stay as they are.
+    A revision that is proposed whole has a compressed document. Tables with two
+    rows of a name are not valid and stay whole.
     """
     tables = command.tables
     before = base.tables
     is_next = base.number > 0 and command.base == before.revision
-    if not is_next or _has_duplicates(tables):
-        return command
+    pieces: tuple[patches.Piece, ...] = ()
+    if is_next and not _has_duplicates(tables):
+        pieces = patches.make_patch(base.document, command.document)
+    added = sum(len(piece.added) for piece in pieces)
+    if not pieces or added > _MAX_ADDED_BYTES:
+        return command.replace(document=zlib.compress(command.document))
     return messages.ChangeRevision(
         command.operator,
         command.base,
@@ -58,7 +70,7 @@
         _find_changed(before.pools, tables.pools),
         _find_removed(before.routes, tables.routes),
         _find_removed(before.pools, tables.pools),
-        patches.make_patch(base.document, command.document),
+        pieces,
         command.digest,
         command.at,
     )
@@ -89,6 +101,15 @@
     )
 
 
+def expand_document(
+    command: messages.ApplyRevision,
+) -> messages.ApplyRevision:
+    """Return a revision with its document as the operators sent it."""
+    if not command.document.startswith(_ZLIB_MARK):
+        return command
+    return command.replace(document=zlib.decompress(command.document))
+
+
 def _find_changed(
     before: tuple[_RowT, ...],
     after: tuple[_RowT, ...],
--- a/tests/components/ledger/test_revisions.py
+++ b/tests/components/ledger/test_revisions.py
@@ -213,6 +213,19 @@
     assert len(codec.encode(change)) < len(codec.encode(order)) / 10
 
 
+def test_whole_revision_of_thousands_of_routes_is_proposed_compressed():
+    """Guards against large tables that exceed the limit of a command."""
+    driver = LedgerDriver()
+    rows = {f'route-{number}': 1 for number in range(3000)}
+    driver.commit(build_large_order(1, 0, {'route-0': 1}))
+    order = build_large_order(2, 1, rows)
+    proposed = driver.ledger.compact(order)
+    assert len(proposed.document) < len(order.document) / 4
+    assert isinstance(driver.commit(proposed), messages.EditAccepted)
+    assert driver.ledger.orders.document == order.document
+    assert driver.ledger.current.tables == order.tables
+
+
 def test_two_rows_of_a_name_are_refused_as_such():
     driver = LedgerDriver()
     driver.commit(build_order(3, 0))
