Limit the memory of all responses that are being received

Cause: a response may have 16 MiB. An upstream with ten slots whose bodies never end could make its node hold 160 MiB of them, near the 200 MB that a node may use.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -11,7 +11,7 @@
 
 from tornado import httputil
 
-from shallotwharf.adapters import headers, responses, wire
+from shallotwharf.adapters import headers, response_memory, responses, wire
 from shallotwharf.core import calls, counters, logs
 
 REASON_CONNECT: typing.Final = 'connect_failed'
@@ -86,12 +86,14 @@
     Attributes:
         counters: counters of the process.
         max_response_bytes: limit of a response body; a larger one fails.
+        memory: limit of all responses that are being received.
     """
 
     __slots__ = ()
 
     counters: counters.Counters
     max_response_bytes: int
+    memory: response_memory.ResponseMemory
 
     @abc.abstractmethod
     def add_idle(self, idle: 'Connection') -> None:
@@ -117,6 +119,7 @@
         '_close_after',
         '_close_delimited',
         '_skipped',
+        '_held_bytes',
         'idle_since',
         'idle_limit',
     )
@@ -133,6 +136,8 @@
         self._close_after = False
         self._close_delimited = False
         self._skipped = 0
+        # Bytes of the response that count in the memory of the owner.
+        self._held_bytes = 0
         self.idle_since: float = 0
         # Keep-alive timeout of the peer in seconds; 0 if not stated.
         self.idle_limit: float = 0
@@ -169,6 +174,7 @@
     def cancel(self, outgoing: Outgoing) -> None:
         """Close the connection if it still carries this request."""
         if self._current is outgoing:
+            self._release_memory()
             self._current = None
             self.close()
 
@@ -247,8 +253,11 @@
         return length
 
     def receive_size(self, size: int) -> bool:
-        """Fail the request if the body exceeds the limit."""
-        if size > self._pool.max_response_bytes:
+        """Fail the request if the body exceeds a limit."""
+        memory = self._pool.memory
+        memory.hold(size - self._held_bytes)
+        self._held_bytes = size
+        if size > self._pool.max_response_bytes or memory.must_drop(size):
             self.fail(REASON_TOO_LARGE)
         return not self._closed
 
@@ -280,8 +289,13 @@
             self._reader.resume()
             self._pool.add_idle(self)
 
+    def _release_memory(self) -> None:
+        self._pool.memory.hold(-self._held_bytes)
+        self._held_bytes = 0
+
     def _skip_response(self) -> None:
         """Wait for another response to the same request."""
+        self._release_memory()
         self._response = None
         self._skipped += 1
         if self._skipped > _MAX_SKIPPED_RESPONSES:
@@ -314,6 +328,7 @@
     def _finish_request(
         self, ended: calls.Result, response: responses.Response | None
     ) -> None:
+        self._release_memory()
         outgoing = self._current
         if outgoing is None:
             return
--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from shallotwharf.adapters import connection
+from shallotwharf.adapters import connection, response_memory
 from shallotwharf.core import counters
 
 # A connect takes 1 ms within a region and 24 ms between regions.
@@ -24,6 +24,7 @@
     __slots__ = (
         'max_response_bytes',
         'counters',
+        'memory',
         '_idle_limit',
         '_host',
         '_port',
@@ -38,10 +39,12 @@
         port: int,
         max_response_bytes: int,
         process_counters: counters.Counters,
+        memory: response_memory.ResponseMemory,
         idle_limit_seconds: float,
     ) -> None:
         self.max_response_bytes = max_response_bytes
         self.counters = process_counters
+        self.memory = memory
         self._idle_limit = idle_limit_seconds
         self._host = host
         self._port = port
@@ -107,7 +110,13 @@
 class Outbound:
     """Connection pools by address."""
 
-    __slots__ = ('_counters', '_max_response_bytes', '_idle_limit', '_pools')
+    __slots__ = (
+        '_counters',
+        '_max_response_bytes',
+        '_memory',
+        '_idle_limit',
+        '_pools',
+    )
 
     def __init__(
         self,
@@ -117,6 +126,7 @@
     ) -> None:
         self._counters = process_counters
         self._max_response_bytes = max_response_bytes
+        self._memory = response_memory.ResponseMemory()
         self._idle_limit = idle_limit_seconds
         self._pools: dict[tuple[str, int], ConnectionPool] = {}
 
@@ -131,6 +141,7 @@
                 port,
                 self._max_response_bytes,
                 self._counters,
+                self._memory,
                 self._idle_limit,
             )
             self._pools[host, port] = pool
--- /dev/null
+++ b/tests/adapters/test_outbound.py
@@ -0,0 +1,78 @@
+"""Guards against memory that many endless responses take together."""
+
+import asyncio
+
+from tornado import httputil
+
+from shallotwharf.adapters import connection, outbound
+from shallotwharf.core import calls, counters
+from tests import callnodes
+
+PART = 65_536 * b'x'
+COUNT = 12
+
+
+class Upstreams:
+    """Upstreams that send without end, and one that sends a short body last."""
+
+    def __init__(self):
+        self.sent = 0
+
+    async def async_serve(self, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        if b'GET /short' in head:
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+            return
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+        try:
+            while True:
+                writer.write(PART)
+                self.sent += len(PART)
+                await writer.drain()
+        except OSError:
+            return
+
+
+def build_outgoing(path, on_done):
+    return connection.Outgoing(
+        httputil.RequestStartLine('GET', path, 'HTTP/1.1'),
+        httputil.HTTPHeaders({'Host': 'x'}),
+        b'',
+        lambda: True,
+        on_done,
+        lambda _headers: True,
+        allows_eof_body=True,
+    )
+
+
+def test_endless_responses_together_stay_within_the_memory():
+    async def async_check():
+        upstreams = Upstreams()
+        port = callnodes.find_port()
+        server = await asyncio.start_server(
+            upstreams.async_serve, callnodes.HOST, port
+        )
+        sender = outbound.Outbound(counters.Counters())
+        ended = []
+        most = 0
+        for _ in range(COUNT):
+            outgoing = build_outgoing('/', lambda got, _: ended.append(got))
+            sender.send(callnodes.HOST, port, outgoing)
+        async with asyncio.timeout(20):
+            while len(ended) < COUNT:
+                await asyncio.sleep(0)
+                most = max(most, sender._memory.held_bytes)
+        assert all(got.outcome == calls.OUTCOME_CLOSED for got in ended)
+        assert most < 80 * 1024 * 1024
+        assert sender._memory.held_bytes == 0
+        short = asyncio.get_running_loop().create_future()
+        outgoing = build_outgoing(
+            '/short', lambda got, _: short.set_result(got)
+        )
+        sender.send(callnodes.HOST, port, outgoing)
+        assert (await short).outcome == calls.OUTCOME_ANSWERED
+        assert sender._memory.held_bytes == 0
+        sender.close()
+        server.close()
+
+    asyncio.run(async_check())
