--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -97,6 +97,6 @@
 # A target without spare slots counts as full for this time only: with ten
 # slots and runs of about 100 ms, a slot becomes free about every 10 ms.
 FULL_LIFETIME_MS: typing.Final = 100
-# In another region a request and its refusal cost far more than in this one, so
-# the time doubles there with each refusal in a row, up to this limit.
-MAX_REMOTE_FULL_MS: typing.Final = 1600
+# In another region a request and its refusal cost more than in this one. A
+# longer time leaves slots there unused.
+REMOTE_FULL_LIFETIME_MS: typing.Final = 200
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -154,9 +154,7 @@
             target.mark_unreached(now)
             return target
         target.mark_reached()
-        if result.outcome == calls.OUTCOME_ANSWERED:
-            target.mark_served()
-        elif result.outcome == calls.OUTCOME_REFUSED:
+        if result.outcome == calls.OUTCOME_REFUSED:
             target.mark_refused(result.reason, now)
         return target
 
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -55,6 +55,8 @@
         self._spare_until = 0
         # Time for which the target counts as full once it has no spare slot.
         self._full_ms = const.FULL_LIFETIME_MS
+        if latency_ms > const.REGION_LATENCY_MS:
+            self._full_ms = const.REMOTE_FULL_LIFETIME_MS
         self._backoff_ms = 0
 
     def update(self, announcement: membership.Announcement, now: int) -> None:
@@ -82,13 +84,6 @@
             reason,
             const.AVOID_REFUSED_MS,
         )
-        is_distant = self.latency_ms > const.REGION_LATENCY_MS
-        if is_distant and reason in const.FULL_REASONS:
-            self._full_ms = min(2 * self._full_ms, const.MAX_REMOTE_FULL_MS)
-
-    def mark_served(self) -> None:
-        """Record that the target had room."""
-        self._full_ms = const.FULL_LIFETIME_MS
 
     def mark_reached(self) -> None:
         """Reset the avoidance period, because the node responded."""
