Try two targets of other regions although no room is known there

Cause: a call was rejected once its region had refused it and no slot was known to be free elsewhere.

Change: two targets of other regions are tried in that case.

--- a/shallotwharf/components/call/chooser.py
+++ b/shallotwharf/components/call/chooser.py
@@ -83,25 +83,27 @@
 
     If no target seems to have room, those that were not tried may have some in
     the region or, without upstreams there, at the distance of the nearest
-    ones. Another region is not worth a try then: the service is overloaded,
-    and the sooner its caller is told so, the sooner it can return.
+    ones. Of other regions only `const.UNKNOWN_REMOTE_TRIES` targets are worth a
+    try then: the service is overloaded, and the sooner its caller is told so,
+    the sooner it can return.
     """
-    if any(
-        targets.has_room(target, tried, now)
-        for group in groups
-        for target in group.targets
-    ):
+    listed = [target for group in groups for target in group.targets]
+    if any(targets.has_room(target, tried, now) for target in listed):
         return attempts.Room.KNOWN
-    if not groups:
-        return attempts.Room.NONE
-    nearest_ms = max(groups[0].latency_ms, const.REGION_LATENCY_MS)
-    untried = any(
-        target.announcement.node.name not in tried
-        for group in groups
-        if group.latency_ms <= nearest_ms
-        for target in group.targets
-    )
-    return attempts.Room.POSSIBLE if untried else attempts.Room.NONE
+    nearest_ms = min((target.latency_ms for target in listed), default=0)
+    near_ms = max(nearest_ms, const.REGION_LATENCY_MS)
+    tries_left = const.UNKNOWN_REMOTE_TRIES
+    is_untried_distant = False
+    for target in listed:
+        is_tried = target.announcement.node.name in tried
+        if target.latency_ms > near_ms:
+            tries_left -= int(is_tried)
+            is_untried_distant = is_untried_distant or not is_tried
+        elif not is_tried:
+            return attempts.Room.POSSIBLE
+    if is_untried_distant and tries_left > 0:
+        return attempts.Room.POSSIBLE
+    return attempts.Room.NONE
 
 
 def _find_untried(
--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -100,3 +100,6 @@
 # In another region a request and its refusal cost more than in this one. A
 # longer time leaves slots there unused.
 REMOTE_FULL_LIFETIME_MS: typing.Final = 200
+# Targets of other regions that a call tries although none seems to have room: a
+# gate without a free slot may still have room in its queue.
+UNKNOWN_REMOTE_TRIES: typing.Final = 2
