--- a/shallotwharf/adapters/link_frames.py
+++ b/shallotwharf/adapters/link_frames.py
@@ -15,8 +15,7 @@
 _ZLIB_MARK: typing.Final = b'\x78'
 # Smaller messages, such as heartbeats, gain less than they cost.
 _MIN_COMPRESSED_BYTES: typing.Final = 512
-# Tables repeat the same field values in each row, so that the fastest level is
-# already within a fifth of the smallest size.
+# The fastest level: a leader compresses each message for each follower.
 _LEVEL: typing.Final = 1
 
 
--- a/shallotwharf/components/call/attempts.py
+++ b/shallotwharf/components/call/attempts.py
@@ -12,7 +12,7 @@
 
     # A target seems to have one.
     KNOWN = 'known'
-    # None seems to, but one nearby was not tried.
+    # None seems to, but some that are worth a try were not tried.
     POSSIBLE = 'possible'
     NONE = 'none'
 
