Log the calls that the end of a stop cuts

Cause: the log of a stop said that calls were unfinished, but not which ones, when they were taken and on which connections.

Change: one line a call with its age and that of its connection (call_cut), the counter inbound.cut, and the number of unfinished calls in calls_finished.

--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -15,7 +15,7 @@
     responses,
     services,
 )
-from shallotwharf.core import calls, clock
+from shallotwharf.core import calls, clock, logs
 
 _SECOND_US: typing.Final = 1_000_000
 
@@ -93,6 +93,23 @@
             self._stop_attempt(calls.Result(calls.OUTCOME_CANCELLED), now)
             self._close()
 
+    def report_cut(self, connection_opened_at: float) -> None:
+        """Log that a stop of the node closes the caller's connection.
+
+        Args:
+            connection_opened_at: loop time, in seconds.
+        """
+        now = self._services.loop.time()
+        connection_age = now - connection_opened_at
+        logs.write_call(
+            'call_cut',
+            id=self._request.label,
+            forwarded=self._is_forwarded,
+            sent=self._outgoing is not None,
+            call_ms=int((now - self._started_at) * clock.SECOND_MS),
+            connection_ms=int(connection_age * clock.SECOND_MS),
+        )
+
     def _run(self, step: calls.Step) -> None:
         _STEPS[type(step)](self, step)
 
@@ -288,7 +305,11 @@
 
     def _write(self, response: responses.Response) -> None:
         self._close()
-        self._record_time()
+        duration = self._services.loop.time() - self._started_at
+        self._services.counters.record_time(
+            'gate.duration' if self._is_forwarded else 'call.duration',
+            int(duration * _SECOND_US),
+        )
         if self._is_forwarded:
             response.headers[headers.ATTEMPT] = self._request.attempt
             spare = self._services.gate.count_spare_slots(
@@ -297,11 +318,6 @@
             response.headers[headers.SPARE] = str(spare)
         self._responder.respond(response)
 
-    def _record_time(self) -> None:
-        name = 'gate.duration' if self._is_forwarded else 'call.duration'
-        duration = self._services.loop.time() - self._started_at
-        self._services.counters.record_time(name, int(duration * _SECOND_US))
-
     def _set_timer(
         self,
         deadline_at: int,
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -120,7 +120,7 @@
             quiet_polls = 0 if self.services.active else quiet_polls + 1
         finished = not self.services.active
         for connection in list(self._connections):
-            connection.close()
+            connection.cut()
         return finished
 
     def add(self, connection: 'CallConnection') -> None:
@@ -145,6 +145,7 @@
         '_close_after',
         '_lingering',
         '_timer',
+        '_opened_at',
     )
 
     def __init__(self, server: CallServer) -> None:
@@ -157,6 +158,7 @@
         self._close_after = False
         self._lingering = False
         self._timer: asyncio.TimerHandle | None = None
+        self._opened_at = server.services.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the transport and enable TCP keep-alive."""
@@ -260,6 +262,14 @@
         else:
             self._reader.resume()
 
+    def cut(self) -> None:
+        """Close the connection even if its call has no response yet."""
+        running = self._exchange
+        if running is not None:
+            self._server.services.counters.add('inbound.cut')
+            running.report_cut(self._opened_at)
+        self.close()
+
     def close(self) -> None:
         """Close the connection after the written data is sent."""
         self._reader.stop()
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -77,7 +77,11 @@
         dispatcher = self._runtime.dispatcher
         dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
         finished = await self._server.async_close(DRAIN_LIMIT_SECONDS)
-        logs.write('calls_finished', all=finished)
+        logs.write(
+            'calls_finished',
+            all=finished,
+            running=self._services.active,
+        )
         dispatcher.deliver(member_messages.Leave(), local_name)
         await self._admin.async_close()
         await self._runtime.links.async_close()
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -155,7 +155,11 @@
             await closed.async_close(self._compute_remaining_seconds(ends_at))
             for closed in self._servers
         ]
-        logs.write('calls_finished', all=all(finished))
+        logs.write(
+            'calls_finished',
+            all=all(finished),
+            running=self._services.active,
+        )
         dispatcher.deliver(member_messages.Leave(), local_name)
         await self._front_end.async_close()
         await self._runtime.links.async_close()
