Take no call that may outlast the shutdown of its node

What callers saw: requests that a node passed on up to 5.2 s after SIGTERM ended with a closed connection and no response, cut confirmations among them.

Cause: a stopping node served its kept connections until the wait for running calls ran out, whatever time a call had left. A busy node is never without a running call, so each stop under load reached the limit and cut what ran.

Change: the router knows when callers have had time to notice the shutdown and when it ends (StopBegan). From the first time on, a call whose deadline lies after the second is rejected at once: 503, not run, come back in 20 ms, since another node can take it. What is taken ends by its deadline before the process does. A short grace period is halved. The node with listed control processes applies the same rule to its 30 s.

Evidence: the log of a cut call shows a connection older than the stop and a call taken 19 to 61 ms before its end. The property test of the plan covers arrivals and deadlines on both sides of the limits.

--- a/shallotwharf/components/call/const.py
+++ b/shallotwharf/components/call/const.py
@@ -12,6 +12,8 @@
 REASON_DEADLINE: typing.Final = 'deadline_too_short'
 # The call would miss its latency target, and no target seems to have room.
 REASON_LATE: typing.Final = 'late_without_room'
+# The node shuts down before the deadline of the call.
+REASON_STOPPING: typing.Final = 'stopping'
 REASON_KEY: typing.Final = 'idempotency_key_missing'
 REASON_FORWARDED: typing.Final = 'forwarded_header_invalid'
 
--- a/shallotwharf/components/call/context.py
+++ b/shallotwharf/components/call/context.py
@@ -42,6 +42,10 @@
     def refresh_local_spare(self, now: int) -> None:
         """Update the spare slots of the local upstream from its gate."""
 
+    @abc.abstractmethod
+    def admits(self, deadline_at: int, now: int) -> bool:
+        """Return whether a call with this deadline may begin."""
+
     @abc.abstractmethod
     def has_version(self) -> bool:
         """Return whether a version was applied."""
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -75,6 +75,8 @@
             limit_ms = min(limit_ms, request.deadline_ms)
         self._attempts.deadline_at = now + limit_ms
         self._call_id = self._context.make_call_id()
+        if not self._context.admits(self._attempts.deadline_at, now):
+            return self._reject(const.REASON_STOPPING)
         if not request.retried:
             self._pool.budget.record_call()
         if not entry.row.once_only:
@@ -96,7 +98,7 @@
         if not isinstance(reply, calls.Denied):
             raise TypeError(f'{reply!r} is not a reply of the guard')
         self._attempts.may_have_run = not reply.not_run
-        return self._respond(const.STATUS_UNAVAILABLE, reply.reason)
+        return self._reject(reply.reason)
 
     def resume(self, result: calls.Result, now: int) -> calls.Step:
         """Relay the response, retry or refuse."""
@@ -221,10 +223,7 @@
         if version is not None:
             groups = self._find_groups(version)
             if self._should_give_way(groups, now):
-                return self._respond(
-                    const.STATUS_UNAVAILABLE,
-                    const.REASON_LATE,
-                )
+                return self._reject(const.REASON_LATE)
             target = chooser.choose_target(
                 groups,
                 self._tried,
@@ -232,10 +231,7 @@
                 now,
             )
         if version is None or target is None:
-            return self._respond(
-                const.STATUS_UNAVAILABLE,
-                const.REASON_NO_UPSTREAM,
-            )
+            return self._reject(const.REASON_NO_UPSTREAM)
         self._version = target.announcement.version
         return self._send(target, now)
 
@@ -356,10 +352,10 @@
                 const.STATUS_NOT_FOUND,
                 const.REASON_UNKNOWN_ROUTE,
             )
-        return self._respond(
-            const.STATUS_UNAVAILABLE,
-            const.REASON_NO_VERSION,
-        )
+        return self._reject(const.REASON_NO_VERSION)
+
+    def _reject(self, reason: str) -> calls.Step:
+        return self._respond(const.STATUS_UNAVAILABLE, reason)
 
     def _respond(self, status: int, reason: str) -> calls.Step:
         self._context.count(f'{const.COUNTER_REFUSED}{reason}')
@@ -379,7 +375,7 @@
         )
         retry_after_ms = 0
         if status == const.STATUS_UNAVAILABLE:
-            retry_after_ms = self._find_retry_after()
+            retry_after_ms = self._find_retry_after(reason)
         return calls.Respond(
             status,
             reason,
@@ -387,7 +383,10 @@
             retry_after_ms,
         )
 
-    def _find_retry_after(self) -> int:
+    def _find_retry_after(self, reason: str) -> int:
+        if reason == const.REASON_STOPPING:
+            # Another node can take the call at once.
+            return timing.MIN_RETRY_AFTER_MS
         if self._entry is None:
             return timing.MAX_RETRY_AFTER_MS
         return self._timing.find_retry_after(self._entry.row, self._age_ms)
--- a/shallotwharf/components/call/router.py
+++ b/shallotwharf/components/call/router.py
@@ -13,10 +13,12 @@
     forwarded,
     index,
     plan,
+    shutdown,
     sizes,
     targets,
     timing,
 )
+from shallotwharf.components.call import messages as call_messages
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.move import messages as move
 from shallotwharf.components.tables import messages as tables
@@ -47,6 +49,7 @@
         '_node_count',
         '_first_applied_at',
         '_count_local_spare',
+        '_shutdown',
     )
 
     name = 'call'
@@ -54,6 +57,7 @@
         tables.VersionApplied: 'apply_version',
         membership.AnnouncementsChanged: 'apply_announcements',
         move.FenceRaised: 'apply_fence',
+        call_messages.StopBegan: 'apply_stop',
     }
 
     def __init__(
@@ -92,6 +96,7 @@
         self._node_count = 1
         self._count_local_spare = count_local_spare
         self._first_applied_at: int | None = None
+        self._shutdown = shutdown.Shutdown()
 
     def start(self, now: int) -> list[effects.Effect]:
         """Do nothing until a version is applied."""
@@ -152,6 +157,16 @@
             )
         return []
 
+    def apply_stop(
+        self,
+        message: call_messages.StopBegan,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Refuse new calls that may not end before the process does."""
+        self._shutdown.begin(message)
+        return []
+
     def plan(self, request: calls.Request) -> call_interfaces.Plan:
         """Return the plan of a request."""
         if request.forwarded:
@@ -186,6 +201,10 @@
         if local is not None and self._count_local_spare is not None:
             local.update_spare(self._count_local_spare(now), now)
 
+    def admits(self, deadline_at: int, now: int) -> bool:
+        """Return whether a call with this deadline may begin."""
+        return self._shutdown.admits(deadline_at, now)
+
     def has_version(self) -> bool:
         """Return whether a version was applied."""
         return self._version.number > 0
--- a/shallotwharf/components/call/timing.py
+++ b/shallotwharf/components/call/timing.py
@@ -13,7 +13,7 @@
 # Weight of one response in the mean run time.
 _RUN_WEIGHT: typing.Final = 0.05
 _RETRY_AFTER_DIVISOR: typing.Final = 3
-_MIN_RETRY_AFTER_MS: typing.Final = 20
+MIN_RETRY_AFTER_MS: typing.Final = 20
 # Also the wait that callers are told where no latency target is known.
 MAX_RETRY_AFTER_MS: typing.Final = 1000
 
@@ -73,7 +73,7 @@
             return min(row.aim_ms, MAX_RETRY_AFTER_MS)
         slack_ms = row.aim_ms - age_ms - self.run_ms
         wait_ms = min(row.aim_ms // _RETRY_AFTER_DIVISOR, int(slack_ms / 2))
-        return min(max(wait_ms, _MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
 
 
 class Timings:
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -3,13 +3,14 @@
 import typing
 
 from shallotwharf.adapters import admin, inbound, services, upstreams
+from shallotwharf.components.call import messages as call_messages
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.delivery import relay, subscriber
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.once import coordinator, holder
 from shallotwharf.components.upstream import messages as upstream_messages
-from shallotwharf.core import logs
+from shallotwharf.core import clock, logs
 from shallotwharf.roles import callpath, process
 from shallotwharf.roles.node import addresses, api, wiring
 from shallotwharf.roles.settings import model
@@ -75,6 +76,9 @@
         """Drain the upstream, finish running calls, then leave the members."""
         local_name = self._runtime.name
         dispatcher = self._runtime.dispatcher
+        now = self._runtime.clock.read()
+        ends_at = now + int(DRAIN_LIMIT_SECONDS * clock.SECOND_MS)
+        dispatcher.deliver(call_messages.StopBegan(now, ends_at), local_name)
         dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
         finished = await self._server.async_close(DRAIN_LIMIT_SECONDS)
         logs.write(
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -5,6 +5,7 @@
 import typing
 
 from shallotwharf.adapters import header_format, inbound, outbound, services
+from shallotwharf.components.call import messages as call_messages
 from shallotwharf.components.delivery import direct
 from shallotwharf.components.membership import membership
 from shallotwharf.components.membership import messages as member_messages
@@ -24,6 +25,8 @@
 # Within this time other nodes are notified that the upstream of this node is
 # unavailable, and most running calls end.
 _DRAIN_LEAD_MS: typing.Final = 700
+# Time that the last responses of a shutdown have to be written.
+_RESPONSE_MARGIN_MS: typing.Final = 100
 
 
 class NodeStatus(abc.ABC):
@@ -134,9 +137,10 @@
     async def async_stop(self) -> None:
         """Shut down while callers beside the node are still served.
 
-        Callers need some time to notice that the node is not ready. Until
-        shortly before the end, other nodes may still use the upstream: it
-        may keep running, and its slots would be missed.
+        Callers need some time to notice that the node is not ready. Later, only
+        calls that can end in time are taken. Until shortly before callers
+        leave, other nodes may still use the upstream: it may keep running, and
+        its slots would be missed.
         """
         self._is_stopping = True
         local_name = self._runtime.name
@@ -145,12 +149,19 @@
             server.closing = True
         now = self._runtime.clock.read()
         ends_at = now + self._settings.stop_ms
-        closes_at = now + self._settings.leave_ms
+        # With a short grace period, half of it is left for calls to run.
+        leaves_at = now + min(
+            self._settings.leave_ms, self._settings.stop_ms // 2
+        )
+        dispatcher.deliver(
+            call_messages.StopBegan(leaves_at, ends_at - _RESPONSE_MARGIN_MS),
+            local_name,
+        )
         await asyncio.sleep(
-            self._compute_remaining_seconds(closes_at - _DRAIN_LEAD_MS)
+            self._compute_remaining_seconds(leaves_at - _DRAIN_LEAD_MS)
         )
         dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
-        await asyncio.sleep(self._compute_remaining_seconds(closes_at))
+        await asyncio.sleep(self._compute_remaining_seconds(leaves_at))
         finished = [
             await closed.async_close(self._compute_remaining_seconds(ends_at))
             for closed in self._servers
--- a/tests/components/call/test_plan.py
+++ b/tests/components/call/test_plan.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import strategies
 
-from shallotwharf.components.call import const
+from shallotwharf.components.call import const, messages
 from shallotwharf.core import calls
 from tests.components.call import build
 
@@ -68,6 +68,25 @@
     assert all(row.in_flight == 0 for row in made.directory.list_targets('s'))
 
 
+@hypothesis.given(
+    strategies.integers(0, 6000),
+    strategies.integers(0, 6000) | strategies.none(),
+    strategies.sampled_from(['/x', '/cut', '/book']),
+)
+def test_call_that_may_outlast_a_shutdown_is_not_sent(now, deadline_ms, path):
+    notice_until, ends_at = 2500, 5100
+    made = build.build_router(build.build_row('a'))
+    made.handle(messages.StopBegan(notice_until, ends_at), '', 0)
+    method = 'GET' if path == '/x' else 'POST'
+    plan = build_plan(path, method, made, deadline_ms=deadline_ms, key=KEY)
+    step = plan.start(now)
+    if isinstance(step, calls.Respond):
+        assert now >= notice_until or step.reason == const.REASON_DEADLINE
+        assert step.not_run and step.retry_after_ms < 1000
+    else:
+        assert now < notice_until or step.deadline_at <= ends_at
+
+
 @pytest.mark.parametrize(
     'outcome', [calls.OUTCOME_ANSWERED, calls.OUTCOME_LATE]
 )
--- a/tests/roles/test_seeded_stop.py
+++ b/tests/roles/test_seeded_stop.py
@@ -70,6 +70,11 @@
         )
         return self
 
+    async def async_stop(self):
+        await self.process.async_stop()
+        self.process._services.outbound.close()
+        await asyncio.sleep(0.01)
+
     async def async_open(self, count):
         return [
             await asyncio.open_connection(callnodes.HOST, self.port)
@@ -125,7 +130,7 @@
 async def test_no_call_on_a_kept_connection_is_cut_at_the_end_of_a_stop():
     node = await StoppingNode().async_start(async_respond)
     kept = await node.async_open(34)
-    stopped = asyncio.ensure_future(node.process.async_stop())
+    stopped = asyncio.ensure_future(node.async_stop())
     ended = await async_keep_busy(node, kept, run_ms=100, deadline_ms=400)
     await stopped
     # A request that crosses the close of its connection is not read.
