Keep the gate of a stopping node closed for an upstream that starts

What callers could see: a request that another node sent to an upstream which started beside a stopping node was cut at the end of the stop.

Cause: draining was a state of the upstream. The first report of another start set it to warming, and the gate admitted requests again.

Change: a drain that the shutdown of the node requests holds for every upstream that starts later (is_final).

Evidence: the test fails with is_final=False for a new start of the same instance and of another one, and passes now.

--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -121,11 +121,13 @@
 
     def apply_drain(
         self,
-        _message: upstream.DrainRequested,
+        message: upstream.DrainRequested,
         _sender: str,
         now: int,
     ) -> list[effects.Effect]:
         """Refuse queued and new attempts; running requests finish."""
+        if message.is_final:
+            self._offer.close()
         if self._offer.drain():
             self._refuse_queued(const.REASON_DRAINING)
         return self._process_changes(now)
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -13,12 +13,13 @@
         state: one of the `UPSTREAM_` constants of the membership.
     """
 
-    __slots__ = ('description', 'state', '_warmup_started_at')
+    __slots__ = ('description', 'state', '_warmup_started_at', '_is_closed')
 
     def __init__(self) -> None:
         self.description: call_interfaces.UpstreamDescription | None = None
         self.state = membership.UPSTREAM_GONE
         self._warmup_started_at = 0
+        self._is_closed = False
 
     def start(
         self, description: call_interfaces.UpstreamDescription, now: int
@@ -28,6 +29,8 @@
             return False
         self.description = description
         self.state = membership.UPSTREAM_WARMING
+        if self._is_closed:
+            self.state = membership.UPSTREAM_DRAINING
         self._warmup_started_at = now
         return True
 
@@ -40,6 +43,10 @@
         self.state = membership.UPSTREAM_DRAINING
         return True
 
+    def close(self) -> None:
+        """Offer no slots of any upstream that starts from now on."""
+        self._is_closed = True
+
     def count_slots(self, now: int) -> int:
         """Return the offered slots, which increase linearly while warming.
 
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -160,7 +160,9 @@
         await asyncio.sleep(
             self._compute_remaining_seconds(leaves_at - _DRAIN_LEAD_MS)
         )
-        dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
+        dispatcher.deliver(
+            upstream_messages.DrainRequested(is_final=True), local_name
+        )
         await asyncio.sleep(self._compute_remaining_seconds(leaves_at))
         finished = [
             await closed.async_close(self._compute_remaining_seconds(ends_at))
--- a/tests/components/upstream/test_reports.py
+++ b/tests/components/upstream/test_reports.py
@@ -45,6 +45,15 @@
     assert is_open(build_gate(build_report('i1', 1))) == 'i1'
 
 
+@pytest.mark.parametrize('instance', ['i1', 'i2'])
+def test_upstream_that_starts_during_a_shutdown_gets_no_requests(instance):
+    made = build_gate(
+        build_report('i1', 1), messages.DrainRequested(is_final=True)
+    )
+    made.handle(build_report(instance, 2, started_at=200), '', 0)
+    assert not is_open(made)
+
+
 @pytest.mark.parametrize(
     'late',
     [
