Serve callers that cannot leave a stopping node

Cause: the listening socket was closed once callers had had time to leave, whether they could leave or not.

Change: the node listens until no call has run for three polls, at most until the end of the shutdown. Calls that cannot end in time get 503, not run.

Evidence: the test opens a connection for each call and goes on for 300 ms after the time to leave. Without the change calls get no connection; now each is answered 200.

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -102,6 +102,18 @@
             ) from error
         return int(self._server.sockets[0].getsockname()[1])
 
+    async def async_wait_until_quiet(self, limit_seconds: float) -> None:
+        """Wait until no exchange runs and no request seems to be on its way.
+
+        The server keeps listening unless it is closed.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_seconds
+        quiet_polls = 0
+        while quiet_polls < _QUIET_POLLS and loop.time() < end:
+            await asyncio.sleep(_CLOSE_POLL_SECONDS)
+            quiet_polls = 0 if self.services.active else quiet_polls + 1
+
     async def async_close(self, limit_seconds: float) -> bool:
         """Stop listening and wait for running exchanges to finish.
 
@@ -112,12 +124,7 @@
         self.closing = True
         if self._server is not None:
             self._server.close()
-        loop = asyncio.get_running_loop()
-        end = loop.time() + limit_seconds
-        quiet_polls = 0
-        while quiet_polls < _QUIET_POLLS and loop.time() < end:
-            await asyncio.sleep(_CLOSE_POLL_SECONDS)
-            quiet_polls = 0 if self.services.active else quiet_polls + 1
+        await self.async_wait_until_quiet(limit_seconds)
         finished = not self.services.active
         for connection in list(self._connections):
             connection.cut()
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -137,10 +137,11 @@
     async def async_stop(self) -> None:
         """Shut down while callers beside the node are still served.
 
-        Callers need some time to notice that the node is not ready. Later, only
-        calls that can end in time are taken. Until shortly before callers
-        leave, other nodes may still use the upstream: it may keep running, and
-        its slots would be missed.
+        Callers need some time to notice that the node is not ready. Those who
+        stay, because most other nodes are down, are served as long as their
+        calls can end in time. Until shortly before callers leave, other nodes
+        may still use the upstream: it may keep running, and its slots would be
+        missed.
         """
         self._is_stopping = True
         local_name = self._runtime.name
@@ -164,6 +165,9 @@
             upstream_messages.DrainRequested(is_final=True), local_name
         )
         await asyncio.sleep(self._compute_remaining_seconds(leaves_at))
+        await self._servers[0].async_wait_until_quiet(
+            self._compute_remaining_seconds(ends_at)
+        )
         finished = [
             await closed.async_close(self._compute_remaining_seconds(ends_at))
             for closed in self._servers
--- a/tests/roles/test_seeded_stop.py
+++ b/tests/roles/test_seeded_stop.py
@@ -144,3 +144,27 @@
             refusal = json.loads(response.partition(b'\r\n\r\n')[2])
             assert refusal['not_run'] and b'Retry-After' in response
             assert seconds < AT_ONCE_SECONDS
+
+
+async def async_call(node):
+    """Return the status of a call on a new connection; 0 without a response."""
+    try:
+        ((reader, writer),) = await node.async_open(1)
+    except ConnectionRefusedError:
+        return 0
+    writer.write(build_call(run_ms=20, deadline_ms=200))
+    response, _ = await async_read(reader, writer, 0)
+    return read_status(response)
+
+
+@test_calls.on_loop
+async def test_callers_that_stay_during_a_stop_are_answered():
+    node = await StoppingNode().async_start(async_respond)
+    stopped = asyncio.ensure_future(node.async_stop())
+    started = []
+    # Goes on after callers have had time to notice the stop.
+    for _ in range((LEAVE_MS + 300) // 20):
+        started.append(asyncio.ensure_future(async_call(node)))
+        await asyncio.sleep(0.02)
+    assert set(await asyncio.gather(*started)) == {200}
+    await stopped
