Answer the calls that outlast the shutdown of their node

What callers saw: a call that still ran at the end of a shutdown ended with a closed connection, which says nothing.

Cause: closing the connection cancelled its exchange, as if its caller had left.

Change: such a call ends as if its deadline had passed: 504, it may have run; or 503, not run, if it waited at a gate and was never sent. The timers of a call share one method for this (expire).

Evidence: the test gets no response without the call of expire, and 504 with it.

--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -4,7 +4,6 @@
 import functools
 import types
 import typing
-from collections import abc as collections_abc
 
 from tornado import httputil
 
@@ -93,8 +92,26 @@
             self._stop_attempt(calls.Result(calls.OUTCOME_CANCELLED), now)
             self._close()
 
+    def expire(self) -> None:
+        """End the current step, because its time is over."""
+        now = self._services.clock.read()
+        if self._step is None:
+            # The guard did not reply.
+            late = calls.Denied('guard_late', not_run=False)
+            self._run(self._plan.handle_guard_reply(late, now))
+            return
+        ended = calls.Result(calls.OUTCOME_LATE, 'deadline_passed')
+        if self._outgoing is None:
+            # It waited in the queue of the gate and was not sent.
+            ended = calls.Result(
+                calls.OUTCOME_REFUSED,
+                connection.REASON_EXPIRED,
+            )
+        self._stop_attempt(ended, now)
+        self._resume(ended)
+
     def report_cut(self, connection_opened_at: float) -> None:
-        """Log that a stop of the node closes the caller's connection.
+        """Log that a stop of the node ends the call.
 
         Args:
             connection_opened_at: loop time, in seconds.
@@ -120,7 +137,7 @@
         now = self._services.clock.read()
         self._step = step
         self._outgoing = None
-        self._set_timer(step.deadline_at, now, self._expire)
+        self._set_timer(step.deadline_at, now)
         self._handle_admission(
             self._services.gate.enter(step, self._request, now),
         )
@@ -149,7 +166,7 @@
     def _forward(self, step: calls.Forward) -> None:
         self._step = step
         now = self._services.clock.read()
-        self._set_timer(step.deadline_at, now, self._expire)
+        self._set_timer(step.deadline_at, now)
         self._headers[headers.FORWARDED] = step.forwarded
         self._send(step.host, step.port, self._end_forwarded, _accept_any)
 
@@ -245,7 +262,7 @@
 
     def _request_grant(self, step: calls.Guard) -> None:
         now = self._services.clock.read()
-        self._set_timer(step.deadline_at, now, self._expire_guard)
+        self._set_timer(step.deadline_at, now)
         self._services.guard.begin(self._request, self._handle_guard_reply)
 
     def _handle_guard_reply(self, reply: calls.GuardReply) -> None:
@@ -258,11 +275,6 @@
             # The exchange has ended, so the key must be released.
             self._services.guard.finish(self._request, None, not_run=True)
 
-    def _expire_guard(self) -> None:
-        now = self._services.clock.read()
-        late = calls.Denied('guard_late', not_run=False)
-        self._run(self._plan.handle_guard_reply(late, now))
-
     def _relay(self, _step: calls.Relay) -> None:
         response = typing.cast(responses.Response, self._response)
         headers.strip_hop_headers(response.headers)
@@ -318,30 +330,14 @@
             response.headers[headers.SPARE] = str(spare)
         self._responder.respond(response)
 
-    def _set_timer(
-        self,
-        deadline_at: int,
-        now: int,
-        expire: collections_abc.Callable[[], None],
-    ) -> None:
+    def _set_timer(self, deadline_at: int, now: int) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._services.loop.call_later(
             (deadline_at - now) / clock.SECOND_MS,
-            expire,
+            self.expire,
         )
 
-    def _expire(self) -> None:
-        ended = calls.Result(calls.OUTCOME_LATE, 'deadline_passed')
-        if self._outgoing is None:
-            # It waited in the queue of the gate and was not sent.
-            ended = calls.Result(
-                calls.OUTCOME_REFUSED,
-                connection.REASON_EXPIRED,
-            )
-        self._stop_attempt(ended, self._services.clock.read())
-        self._resume(ended)
-
     def _stop_attempt(self, ended: calls.Result, now: int) -> None:
         if self._connection is not None and self._outgoing is not None:
             self._connection.cancel(self._outgoing)
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -119,7 +119,8 @@
 
         Requests that have arrived but were not read yet are served, too.
 
-        Returns whether all of them finished within the limit.
+        Returns whether all of them finished within the limit; the others end
+        as if their deadlines had passed.
         """
         self.closing = True
         if self._server is not None:
@@ -270,11 +271,12 @@
             self._reader.resume()
 
     def cut(self) -> None:
-        """Close the connection even if its call has no response yet."""
+        """End the call that the connection carries, if any, and close it."""
         running = self._exchange
         if running is not None:
             self._server.services.counters.add('inbound.cut')
             running.report_cut(self._opened_at)
+            running.expire()
         self.close()
 
     def close(self) -> None:
--- a/tests/roles/test_seeded_stop.py
+++ b/tests/roles/test_seeded_stop.py
@@ -168,3 +168,15 @@
         await asyncio.sleep(0.02)
     assert set(await asyncio.gather(*started)) == {200}
     await stopped
+
+
+@test_calls.on_loop
+async def test_call_that_outlasts_a_stop_gets_a_response():
+    node = await StoppingNode().async_start(async_respond)
+    ((reader, writer),) = await node.async_open(1)
+    writer.write(build_call(run_ms=3000, deadline_ms=2500))
+    await asyncio.sleep(0.05)
+    await node.async_stop()
+    response, _ = await async_read(reader, writer, 0)
+    assert read_status(response) == 504
+    assert not json.loads(response.partition(b'\r\n\r\n')[2])['not_run']
