--- a/tests/roles/test_seeded_stop.py
+++ b/tests/roles/test_seeded_stop.py
@@ -73,6 +73,7 @@
     async def async_stop(self):
         await self.process.async_stop()
         self.process._services.outbound.close()
+        await self.other.async_close()
         await asyncio.sleep(0.01)
 
     async def async_open(self, count):
