Ignore late reports of an upstream that left right after a restart

A node that had restarted half a second earlier had no report to take the start from and recorded 0. A report of the same instance that arrived seconds late then looked like a later start and opened the gate again.

Change: for 10 s after such an end all reports of the instance are rejected.

The test of that order of messages failed before and passes now.

--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -94,7 +94,7 @@
         """Apply a report unless a later one was applied."""
         report = message.report
         is_new = self._reports.is_new_start(report)
-        if not self._reports.accept(report):
+        if not self._reports.accept(report, now):
             return [effects.Count(const.COUNTER_STALE)]
         if is_new:
             self._offer.description = None
@@ -111,7 +111,7 @@
         now: int,
     ) -> list[effects.Effect]:
         """Remove the upstream if the ended instance is the current one."""
-        self._reports.end(message.instance, message.started_at)
+        self._reports.end(message.instance, message.started_at, now)
         description = self._offer.description
         if description is None or not self._reports.has_ended(
             description.instance
--- a/tests/components/upstream/test_reports.py
+++ b/tests/components/upstream/test_reports.py
@@ -79,6 +79,21 @@
     assert not is_open(made)
 
 
+def test_late_report_does_not_restore_an_upstream_that_left_after_a_restart():
+    made = build_gate(messages.UpstreamEnded('i1', 0))
+    made.handle(build_report('i1', 7), '', 2000)
+    assert not is_open(made)
+    # Another instance is not affected.
+    made.handle(build_report('i2', 1, started_at=200), '', 2000)
+    assert is_open(made) == 'i2'
+
+
+def test_upstream_that_starts_again_under_its_name_is_used_after_a_while():
+    made = build_gate(messages.UpstreamEnded('i1', 0))
+    made.handle(build_report('i1', 1, started_at=200), '', 10_000)
+    assert is_open(made) == 'i1'
+
+
 def test_end_of_an_earlier_start_does_not_remove_its_successor():
     made = build_gate(
         build_report('i1', 9),
