Log changes of the upstream beside a node

Cause: the log did not show why a gate admitted requests again after its upstream had left; acknowledged and ignored reports leave no line.

Change: one line when the announced state, version or slots change (upstream_changed), with the instance and the generation that lines about calls state, too.

Result: 383 tests of gate, calls, membership, adapters and platform pass.

--- a/shallotwharf/components/upstream/announcer.py
+++ b/shallotwharf/components/upstream/announcer.py
@@ -53,7 +53,8 @@
             description.slots,
             state,
         )
-        if self._announced[:-1] == current:
+        changed = self._announced[:-1] != current
+        if not changed:
             if self._announced[-1] == spare or self._is_timer_set:
                 return []
             if now < self._next_at:
@@ -64,13 +65,35 @@
         self._announced = (*current, spare)
         self._next_at = now + self._interval_ms
         self._generation += 1
-        return [self._publish(description, state, spare)]
+        announced: list[effects.Effect] = [
+            self._publish(description, state, spare),
+        ]
+        if changed:
+            announced.append(self._report(description, state))
+        return announced
 
     def handle_timer(self) -> None:
         """Handle the announcement timer; the next `update` announces."""
         self._is_timer_set = False
         self._next_at = 0
 
+    def _report(
+        self,
+        description: call_interfaces.UpstreamDescription,
+        state: str,
+    ) -> effects.Effect:
+        return effects.Report(
+            const.EVENT_CHANGED,
+            {
+                'instance': description.instance,
+                'service': description.service,
+                'served': description.version,
+                'slots': description.slots,
+                'state': state,
+                'generation': self._generation,
+            },
+        )
+
     def _publish(
         self,
         description: call_interfaces.UpstreamDescription,
--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -15,6 +15,8 @@
 # Two attempts with the same id would share a slot.
 REASON_DUPLICATE: typing.Final = 'duplicate_attempt'
 
+EVENT_CHANGED: typing.Final = 'upstream_changed'
+
 COUNTER_REFUSED: typing.Final = 'upstream.refused.'
 COUNTER_QUEUED: typing.Final = 'upstream.queued'
 COUNTER_STALE: typing.Final = 'upstream.reports_stale'
