Close connections after a response that carries no id

Cause: on the users' platform a response without Attempt-Id was taken as the response to the request that was sent last, and its connection was kept. A refusal without an id, which a faulty target wrote once more before its next response, then ended the next request on that connection: its caller got 503 although the target had run it, or the node beside the caller sent it again and it ran twice.

Change: the header format says whether a response is proved to belong to its request, is unproved, or belongs to another one. After an unproved response the connection is closed, so everything received before on a kept connection carried an id, and a repetition of it is told apart by that id. Refusals without an id are still understood as refusals. Responses with the id of their request keep their connection. The standard interface, whose upstreams echo no id, is unchanged.

Measured: test_repeated_refusal_without_an_id_ends_no_later_request failed before: with one node the second request was answered 503 and had run once, with two nodes the first one ran twice. It passes now.

--- a/measurements/forwarding.py
+++ b/measurements/forwarding.py
@@ -13,7 +13,7 @@
     iostream,
 )
 
-from shallotwharf.adapters import connection, outbound
+from shallotwharf.adapters import connection, outbound, responses
 from shallotwharf.core import calls, counters
 
 HOST = '127.0.0.1'
@@ -251,7 +251,7 @@
                 b'',
                 lambda: True,
                 done,
-                lambda _: True,
+                lambda _: responses.Match.PROVED,
             ),
         )
 
--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -1,7 +1,9 @@
 """One persistent HTTP/1.1 connection to an upstream or another node.
 
 It carries one request at a time, so that a response belongs to the request
-that was sent last. Bytes that arrive without a pending request close it.
+that was sent last. Bytes that arrive without a pending request close it. An
+upstream may repeat a response, so only a response that can be told from its
+repetition lets the connection carry another request.
 """
 
 import abc
@@ -30,8 +32,8 @@
     [calls.Result, responses.Response | None], None
 ]
 
-MatchesRequest: typing.TypeAlias = collections_abc.Callable[
-    [httputil.HTTPHeaders], bool
+MatchResponse: typing.TypeAlias = collections_abc.Callable[
+    [httputil.HTTPHeaders], responses.Match
 ]
 
 
@@ -44,7 +46,7 @@
         body: the complete body.
         prepare: called immediately before sending; returns False if too
             little time is left to send.
-        matches_request: returns whether a response with the given headers
+        match_response: returns whether a response with the given headers
             belongs to the request.
         allows_eof_body: whether the body of a response may be delimited by the
             close of the connection instead of a length.
@@ -57,7 +59,7 @@
         'body',
         'prepare',
         'on_done',
-        'matches_request',
+        'match_response',
         'allows_eof_body',
     )
 
@@ -68,7 +70,7 @@
         body: bytes,
         prepare: collections_abc.Callable[[], bool],
         on_done: OnDone,
-        matches_request: MatchesRequest,
+        match_response: MatchResponse,
         allows_eof_body: bool = False,
     ) -> None:
         self.start_line = start_line
@@ -76,7 +78,7 @@
         self.body = body
         self.prepare = prepare
         self.on_done = on_done
-        self.matches_request = matches_request
+        self.match_response = match_response
         self.allows_eof_body = allows_eof_body
 
 
@@ -267,14 +269,15 @@
         if headers.is_informational(response.status):
             self._skip_response()
             return
-        outgoing = self._current
-        if outgoing is not None and not outgoing.matches_request(
-            response.headers
-        ):
+        outgoing = typing.cast(Outgoing, self._current)
+        match = outgoing.match_response(response.headers)
+        if match is responses.Match.FOREIGN:
             # A late response to an earlier request; the right one may follow.
             self._pool.counters.add('outbound.foreign')
             self._skip_response()
             return
+        if match is responses.Match.UNPROVED:
+            self._close_after = True
         response.body = body
         self.idle_limit = headers.read_keep_alive(response.headers)
         self._finish_request(
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -118,7 +118,7 @@
                 admission.port,
                 self._end_entered,
                 functools.partial(
-                    self._services.header_format.matches_request,
+                    self._services.header_format.match_response,
                     self._headers,
                 ),
             )
@@ -141,7 +141,7 @@
         host: str,
         port: int,
         on_done: connection.OnDone,
-        matches_request: connection.MatchesRequest,
+        match_response: connection.MatchResponse,
     ) -> None:
         self._outgoing = connection.Outgoing(
             self._start_line,
@@ -149,7 +149,7 @@
             self._request.body,
             self._prepare,
             on_done,
-            matches_request,
+            match_response,
             allows_eof_body=self._services.header_format.allows_eof_body,
         )
         self._connection = self._services.outbound.send(
@@ -343,9 +343,9 @@
             self._timer.cancel()
 
 
-def _accept_any(_response_headers: httputil.HTTPHeaders) -> bool:
+def _accept_any(_response_headers: httputil.HTTPHeaders) -> responses.Match:
     """Accept any response of a node: `_end_forwarded` checks its attempt."""
-    return True
+    return responses.Match.PROVED
 
 
 # Methods that execute the steps of a plan.
--- a/shallotwharf/adapters/header_format.py
+++ b/shallotwharf/adapters/header_format.py
@@ -68,11 +68,11 @@
         """Set the headers of a request to an upstream."""
 
     @abc.abstractmethod
-    def matches_request(
+    def match_response(
         self,
         request_headers: httputil.HTTPHeaders,
         response_headers: httputil.HTTPHeaders,
-    ) -> bool:
+    ) -> responses.Match:
         """Return whether a response belongs to a request."""
 
     @abc.abstractmethod
@@ -124,13 +124,17 @@
             attempt.retried,
         )
 
-    def matches_request(
+    def match_response(
         self,
         request_headers: httputil.HTTPHeaders,
         response_headers: httputil.HTTPHeaders,
-    ) -> bool:
-        """Accept every response, because upstreams need not echo an id."""
-        return True
+    ) -> responses.Match:
+        """Accept every response, because upstreams need not echo an id.
+
+        Connections are reused all the same: upstreams of this interface are
+        expected to send one response to each request.
+        """
+        return responses.Match.PROVED
 
     def read_result(
         self,
--- a/shallotwharf/adapters/responses.py
+++ b/shallotwharf/adapters/responses.py
@@ -1,6 +1,7 @@
 """HTTP responses to calls, including refusals, and their writing."""
 
 import asyncio
+import enum
 import json
 import typing
 from http import client
@@ -15,6 +16,17 @@
 _COPY_LIMIT_BYTES: typing.Final = 16_384
 
 
+class Match(enum.Enum):
+    """Whether a response belongs to the request that was sent last."""
+
+    # It does, and its repetition would not match a later request.
+    PROVED = 'proved'
+    # It does, as long as no earlier response of its connection is repeated.
+    UNPROVED = 'unproved'
+    # It belongs to another request.
+    FOREIGN = 'foreign'
+
+
 class Response:
     """A complete HTTP response."""
 
--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -76,14 +76,18 @@
         request_headers[_DEADLINE] = str(max(attempt.deadline_ms, 0))
         request_headers[_INSTANCE] = attempt.instance
 
-    def matches_request(
+    def match_response(
         self,
         request_headers: httputil.HTTPHeaders,
         response_headers: httputil.HTTPHeaders,
-    ) -> bool:
-        """Return whether the attempt ids match; no id matches any request."""
+    ) -> responses.Match:
+        """Compare the attempt ids; a refusal may come without one."""
         echoed = response_headers.get(_ATTEMPT)
-        return echoed is None or echoed == request_headers.get(_ATTEMPT)
+        if not echoed:
+            return responses.Match.UNPROVED
+        if echoed == request_headers.get(_ATTEMPT):
+            return responses.Match.PROVED
+        return responses.Match.FOREIGN
 
     def read_result(
         self,
--- a/tests/adapters/test_outbound.py
+++ b/tests/adapters/test_outbound.py
@@ -4,7 +4,7 @@
 
 from tornado import httputil
 
-from shallotwharf.adapters import connection, outbound
+from shallotwharf.adapters import connection, outbound, responses
 from shallotwharf.core import calls, counters
 from tests import callnodes
 
@@ -40,7 +40,7 @@
         b'',
         lambda: True,
         on_done,
-        lambda _headers: True,
+        lambda _headers: responses.Match.PROVED,
         allows_eof_body=True,
     )
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,6 +1,7 @@
 """Guards against mismatched, unsigned and forged messages over sockets."""
 
 import asyncio
+import re
 import socket
 import struct
 
@@ -99,3 +100,75 @@
     nodes[0].announce(port, instance='i-2')
     await asyncio.sleep(0.01)
     assert (await async_call(nodes[0], 'POST', '/cut'))[0] == 502
+
+
+class RepeatingUpstream:
+    """Upstream that repeats its last refusal before its next response.
+
+    Attributes:
+        refused: how many requests of an id are refused before one is run.
+        more: headers of a refusal, as a function of the request's id.
+        runs: ids of the requests that it ran.
+        connections: number of connections that it accepted.
+    """
+
+    def __init__(self, refused, more):
+        self.refused = refused
+        self.more = more
+        self.runs = []
+        self.connections = 0
+
+    async def async_serve(self, reader, writer):
+        self.connections += 1
+        repeated = b''
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(1)
+                number = re.search(rb'Attempt-Id: (\w+)', head)[1]
+                answer, earlier = self.answer(number), repeated
+                repeated = answer if b'Not-Executed' in answer else b''
+                if earlier:
+                    writer.write(earlier)
+                    await asyncio.sleep(0.01)
+                writer.write(answer)
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+    def answer(self, number):
+        if self.refused.get(number):
+            self.refused[number] -= 1
+            more = b'Not-Executed: 1\r\n' + self.more(number)
+            return build_answer(status=b'503 Busy', more=more)
+        self.runs.append(number)
+        return build_answer(more=SIGNED_HEADERS.replace(b'a1', number))
+
+
+async def async_post(node, number):
+    status, _ = await raw_calls.async_call(
+        node, 'POST', '/cut', f'Attempt-Id: {number}', body='x'
+    )
+    return status
+
+
+async def async_build_repeating(refused, more, count=1):
+    nodes, _ = await async_build(build_answer(), count)
+    raw = RepeatingUpstream(refused, more)
+    port = callnodes.find_port()
+    await asyncio.start_server(raw.async_serve, callnodes.HOST, port)
+    nodes[-1].announce(port, instance='i-2')
+    await asyncio.sleep(0.01)
+    return nodes, raw
+
+
+@pytest.mark.parametrize(('count', 'refusals'), [(1, 3), (2, 1)])
+@raw_calls.on_loop
+async def test_repeated_refusal_without_an_id_ends_no_later_request(
+    count, refusals
+):
+    nodes, raw = await async_build_repeating(
+        {b'a1': refusals}, lambda _: b'', count
+    )
+    first, later = [await async_post(nodes[0], name) for name in ('a1', 'a2')]
+    assert (first, raw.runs.count(b'a1')) in {(503, 0), (200, 1)}
+    assert (later, raw.runs.count(b'a2')) == (200, 1)
--- a/tests/platform/test_header_format.py
+++ b/tests/platform/test_header_format.py
@@ -3,7 +3,7 @@
 import pytest
 from tornado import httputil
 
-from shallotwharf.adapters import header_format
+from shallotwharf.adapters import header_format, responses
 from shallotwharf.core import calls
 from shallotwharf.platform import header_format as platform_header_format
 
@@ -45,11 +45,23 @@
     assert ended.outcome == outcome
 
 
-def test_response_with_another_attempt_id_does_not_match():
-    request_headers = httputil.HTTPHeaders({'Attempt-Id': 'a'})
-    other = httputil.HTTPHeaders({'Attempt-Id': 'b'})
-    assert HEADER_FORMAT.matches_request(request_headers, request_headers)
-    assert not HEADER_FORMAT.matches_request(request_headers, other)
+@pytest.mark.parametrize(
+    ('sent', 'echoed', 'match'),
+    [
+        ({'Attempt-Id': 'a'}, {'Attempt-Id': 'a'}, responses.Match.PROVED),
+        ({'Attempt-Id': 'a'}, {'Attempt-Id': 'b'}, responses.Match.FOREIGN),
+        ({'Attempt-Id': 'a'}, {}, responses.Match.UNPROVED),
+        ({}, {'Attempt-Id': 'b'}, responses.Match.FOREIGN),
+        ({}, {}, responses.Match.UNPROVED),
+        ({'Attempt-Id': ''}, {'Attempt-Id': ''}, responses.Match.UNPROVED),
+    ],
+)
+def test_response_belongs_to_the_request_whose_attempt_id_it_has(
+    sent, echoed, match
+):
+    assert match is HEADER_FORMAT.match_response(
+        httputil.HTTPHeaders(sent), httputil.HTTPHeaders(echoed)
+    )
 
 
 def test_upstream_gets_the_time_left_and_its_instance():
