Send a retry on a connection that has not refused it

Cause: the retries of a caller's attempt carry the Attempt-Id of that attempt, and a target that refused one may be chosen again while its node keeps the connection. A faulty target that wrote the first refusal once more before the response to the retry ended the retry by it, since the id matched: the caller got 503 although its request had run, or it was sent once more and ran twice.

Change: a connection remembers the ids of the requests that did not succeed on it, at most 256, and the pool takes another connection for a request with such an id. A response with the id of the request is then the first one of that connection. Other requests go on using the connection, so that a new one is opened only for a retry at the same target that finds no other one idle. After 256 such ids the connection is closed.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -27,6 +27,8 @@
 # Limit of informational responses, and late ones to earlier requests, that
 # precede the response to a request.
 _MAX_SKIPPED_RESPONSES: typing.Final = 16
+# Limit of the ids that a connection remembers; it closes at the limit.
+MAX_FAILED_IDS: typing.Final = 256
 
 OnDone: typing.TypeAlias = collections_abc.Callable[
     [calls.Result, responses.Response | None], None
@@ -50,6 +52,8 @@
             belongs to the request.
         allows_eof_body: whether the body of a response may be delimited by the
             close of the connection instead of a length.
+        request_id: id that the response echoes; may be sent again in a retry.
+            Empty if the response is not matched by such an id.
         on_done: called once with the result, unless the request was cancelled.
     """
 
@@ -61,6 +65,7 @@
         'on_done',
         'match_response',
         'allows_eof_body',
+        'request_id',
     )
 
     def __init__(
@@ -72,6 +77,7 @@
         on_done: OnDone,
         match_response: MatchResponse,
         allows_eof_body: bool = False,
+        request_id: str = '',
     ) -> None:
         self.start_line = start_line
         self.headers = request_headers
@@ -80,6 +86,7 @@
         self.on_done = on_done
         self.match_response = match_response
         self.allows_eof_body = allows_eof_body
+        self.request_id = request_id
 
 
 class Owner(abc.ABC):
@@ -122,6 +129,7 @@
         '_close_delimited',
         '_skipped',
         '_held_bytes',
+        '_failed_ids',
         'idle_since',
         'idle_limit',
     )
@@ -140,6 +148,8 @@
         self._skipped = 0
         # Bytes of the response that count in the memory of the owner.
         self._held_bytes = 0
+        # Ids of the requests that did not succeed on this connection.
+        self._failed_ids: set[str] = set()
         self.idle_since: float = 0
         # Keep-alive timeout of the peer in seconds; 0 if not stated.
         self.idle_limit: float = 0
@@ -173,6 +183,14 @@
             outgoing.body,
         )
 
+    def may_carry(self, outgoing: Outgoing) -> bool:
+        """Return whether a response could be told from an earlier one.
+
+        A retry has the id of the failed attempt, so a repetition of the
+        earlier response would match it.
+        """
+        return outgoing.request_id not in self._failed_ids
+
     def cancel(self, outgoing: Outgoing) -> None:
         """Close the connection if it still carries this request."""
         if self._current is outgoing:
@@ -278,6 +296,8 @@
             return
         if match is responses.Match.UNPROVED:
             self._close_after = True
+        if outgoing.request_id and not headers.is_success(response.status):
+            self._remember_failure(outgoing.request_id)
         response.body = body
         self.idle_limit = headers.read_keep_alive(response.headers)
         self._finish_request(
@@ -292,6 +312,11 @@
             self._reader.resume()
             self._pool.add_idle(self)
 
+    def _remember_failure(self, request_id: str) -> None:
+        self._failed_ids.add(request_id)
+        if len(self._failed_ids) >= MAX_FAILED_IDS:
+            self._close_after = True
+
     def _release_memory(self) -> None:
         self._pool.memory.hold(-self._held_bytes)
         self._held_bytes = 0
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -113,14 +113,13 @@
         if isinstance(admission, calls.Admitted):
             headers.strip_internal_headers(self._headers)
             self._instance = admission.instance
+            used_format = self._services.header_format
             self._send(
                 admission.host,
                 admission.port,
                 self._end_entered,
-                functools.partial(
-                    self._services.header_format.match_response,
-                    self._headers,
-                ),
+                functools.partial(used_format.match_response, self._headers),
+                used_format.find_request_id(self._headers),
             )
         elif isinstance(admission, calls.Refused):
             self._resume(
@@ -142,6 +141,7 @@
         port: int,
         on_done: connection.OnDone,
         match_response: connection.MatchResponse,
+        request_id: str = '',
     ) -> None:
         self._outgoing = connection.Outgoing(
             self._start_line,
@@ -151,6 +151,7 @@
             on_done,
             match_response,
             allows_eof_body=self._services.header_format.allows_eof_body,
+            request_id=request_id,
         )
         self._connection = self._services.outbound.send(
             host,
--- a/shallotwharf/adapters/header_format.py
+++ b/shallotwharf/adapters/header_format.py
@@ -67,6 +67,13 @@
     ) -> None:
         """Set the headers of a request to an upstream."""
 
+    @abc.abstractmethod
+    def find_request_id(self, request_headers: httputil.HTTPHeaders) -> str:
+        """Return the id that upstreams echo, the same in each retry.
+
+        Empty if there is none.
+        """
+
     @abc.abstractmethod
     def match_response(
         self,
@@ -124,6 +131,10 @@
             attempt.retried,
         )
 
+    def find_request_id(self, request_headers: httputil.HTTPHeaders) -> str:
+        """Return no id, because upstreams need not echo one."""
+        return ''
+
     def match_response(
         self,
         request_headers: httputil.HTTPHeaders,
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -107,6 +107,11 @@
     return status < 200  # noqa: WPS432
 
 
+def is_success(status: int) -> bool:
+    """Return whether a request succeeded (RFC 9110, 15.3)."""
+    return 200 <= status < 300  # noqa: WPS432
+
+
 def is_empty(status: int, method: str) -> bool:
     """Return whether a response has no body, regardless of its headers."""
     return (
--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -54,14 +54,11 @@
 
     def send(self, outgoing: connection.Outgoing) -> connection.Connection:
         """Send a request on an idle connection, or open a new one."""
-        now = self._loop.time()
-        while self._idle:
-            idle = self._idle.pop()
-            if not idle.is_closed() and self._is_fresh(idle, now):
-                idle.send(outgoing)
-                return idle
-            idle.close()
-        return self._open(outgoing)
+        idle = self._take_idle(outgoing)
+        if idle is None:
+            return self._open(outgoing)
+        idle.send(outgoing)
+        return idle
 
     def add_idle(self, idle: connection.Connection) -> None:
         """Add an idle connection for reuse; close it if the pool is full."""
@@ -82,6 +79,27 @@
             idle.close()
         self._idle.clear()
 
+    def _take_idle(
+        self, outgoing: connection.Outgoing
+    ) -> connection.Connection | None:
+        """Remove and return an idle connection that may carry a request.
+
+        Those that are closed or have been idle for too long are closed.
+        """
+        now = self._loop.time()
+        passed_over: list[connection.Connection] = []
+        found: connection.Connection | None = None
+        while self._idle and found is None:
+            idle = self._idle.pop()
+            if idle.is_closed() or not self._is_fresh(idle, now):
+                idle.close()
+            elif idle.may_carry(outgoing):
+                found = idle
+            else:
+                passed_over.append(idle)
+        self._idle.extend(reversed(passed_over))
+        return found
+
     def _is_fresh(self, idle: connection.Connection, now: float) -> bool:
         limit = self._idle_limit
         if idle.idle_limit:
--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -76,6 +76,10 @@
         request_headers[_DEADLINE] = str(max(attempt.deadline_ms, 0))
         request_headers[_INSTANCE] = attempt.instance
 
+    def find_request_id(self, request_headers: httputil.HTTPHeaders) -> str:
+        """Return the id of the caller's attempt."""
+        return request_headers.get(_ATTEMPT, '')
+
     def match_response(
         self,
         request_headers: httputil.HTTPHeaders,
--- a/tests/adapters/test_outbound.py
+++ b/tests/adapters/test_outbound.py
@@ -1,7 +1,12 @@
-"""Guards against memory that many endless responses take together."""
+"""Guards against memory that many endless responses take together.
+
+And against retries on a connection that may repeat an earlier response.
+"""
 
 import asyncio
 
+import hypothesis
+from hypothesis import strategies
 from tornado import httputil
 
 from shallotwharf.adapters import connection, outbound, responses
@@ -33,7 +38,7 @@
             return
 
 
-def build_outgoing(path, on_done):
+def build_outgoing(path, on_done, request_id=''):
     return connection.Outgoing(
         httputil.RequestStartLine('GET', path, 'HTTP/1.1'),
         httputil.HTTPHeaders({'Host': 'x'}),
@@ -42,6 +47,7 @@
         on_done,
         lambda _headers: responses.Match.PROVED,
         allows_eof_body=True,
+        request_id=request_id,
     )
 
 
@@ -76,3 +82,64 @@
         server.close()
 
     asyncio.run(async_check())
+
+
+def send_in_turn(sent):
+    """Send requests one after the other, each an id and the status it gets.
+
+    Returns the connection on which each was received.
+    """
+    received = []
+
+    async def async_serve(reader, writer):
+        while head := await reader.read(1000):
+            status = head.split()[1].removeprefix(b'/')
+            received.append(writer)
+            writer.write(b'HTTP/1.1 %b X\r\nContent-Length: 0\r\n\r\n' % status)
+        writer.close()
+
+    async def async_send():
+        port = callnodes.find_port()
+        server = await asyncio.start_server(async_serve, callnodes.HOST, port)
+        sender = outbound.Outbound(counters.Counters())
+        for request_id, status in sent:
+            ended = asyncio.get_running_loop().create_future()
+            outgoing = build_outgoing(
+                f'/{status}',
+                lambda got, _, done=ended: done.set_result(got),
+                request_id,
+            )
+            sender.send(callnodes.HOST, port, outgoing)
+            assert (await ended).outcome == calls.OUTCOME_ANSWERED
+        sender.close()
+        server.close()
+        await asyncio.sleep(0.002)
+
+    asyncio.run(async_send())
+    return received
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from('abc'), strategies.sampled_from([200, 503])
+        ),
+        max_size=12,
+    )
+)
+def test_request_that_failed_on_a_connection_is_sent_again_on_another(sent):
+    received = send_in_turn(sent)
+    failed = set()
+    for used, (request_id, status) in zip(received, sent, strict=True):
+        assert (used, request_id) not in failed
+        if status != 200:
+            failed.add((used, request_id))
+    # A connection is opened only for a request that failed on all others.
+    most = max(sent.count((name, 503)) for name in 'abc')
+    assert len(set(received)) <= most + 1
+
+
+def test_ids_that_a_connection_remembers_are_limited():
+    limit = connection.MAX_FAILED_IDS
+    received = send_in_turn((f'a{number}', 503) for number in range(limit + 1))
+    assert received.count(received[0]) == limit
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -172,3 +172,24 @@
     first, later = [await async_post(nodes[0], name) for name in ('a1', 'a2')]
     assert (first, raw.runs.count(b'a1')) in {(503, 0), (200, 1)}
     assert (later, raw.runs.count(b'a2')) == (200, 1)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@raw_calls.on_loop
+async def test_repeated_refusal_with_an_id_does_not_end_its_retry(count):
+    nodes, raw = await async_build_repeating(
+        {b'a1': 2}, b'Attempt-Id: %b\r\n'.__mod__, count
+    )
+    assert await async_post(nodes[0], 'a1') == 200
+    assert raw.runs == [b'a1']
+
+
+@raw_calls.on_loop
+async def test_responses_with_ids_keep_their_connection():
+    nodes, raw = await async_build_repeating(
+        {b'a3': 1}, b'Attempt-Id: %b\r\n'.__mod__, 2
+    )
+    for number in range(9):
+        assert await async_post(nodes[0], f'a{number}') == 200
+    # The retry of the refused request needs another one.
+    assert raw.connections == 2
