Close a connection on which a second response has begun

Cause: bytes that follow a response in the same read close the connection, but only the reason phrase, the headers and the body counted as such bytes. If the read ended within the beginning of the status line of a second copy, the connection was used again, and when the rest of the copy arrived it was taken as the response to the next request. Without ids, as on the standard interface, the next caller got the answer of an earlier one.

Change: a message that has begun counts as buffered, so that it closes the connection. At a node's own port a request that has begun behind another one is read in the next turn of the loop, as a longer one was before.

Measured: test_unsolicited_response_in_two_reads_never_reaches_a_call failed before for the cuts after "H" and after "HTTP/1.1 200", with the body of the copy in the next answer; the cut within the reason phrase passed. All pass now.

--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -150,9 +150,13 @@
         return self._is_paused
 
     def count_buffered(self) -> int:
-        """Return the approximate number of received, undelivered bytes."""
+        """Return the approximate number of received, undelivered bytes.
+
+        It is above 0 as soon as a message has begun: the parser reports no
+        part of a status line before its end.
+        """
         buffered = sum(
-            message.head_size + message.size for message in self._messages
+            1 + message.head_size + message.size for message in self._messages
         )
         return buffered + self._excess_bytes
 
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -369,6 +369,18 @@
     assert nodes[0].counters.read('outbound.unsolicited') == 5
 
 
+@pytest.mark.parametrize('start', [b'H', b'HTTP/1.1 200', b'HTTP/1.1 200 O'])
+@on_loop
+async def test_unsolicited_response_in_two_reads_never_reaches_a_call(start):
+    rest = OK.replace(b'ok', b'no').removeprefix(start)
+    nodes, raw = await async_build(OK + start)
+    assert await async_call(nodes[0]) == (200, b'ok')
+    raw.response = lambda _: OK if raw.lost else rest + OK
+    await asyncio.sleep(0.01)
+    assert await async_call(nodes[0]) == (200, b'ok')
+    assert nodes[0].counters.read('outbound.unsolicited') == 1
+
+
 @on_loop
 async def test_response_of_a_node_to_another_attempt_is_dropped():
     crossed = OK.replace(b'\r\n\r\n', b'\r\nShallotwharf-Attempt: x\r\n\r\n')
