Test second copies of responses at any point of a connection

An upstream follows a script: it runs or refuses each request, with or without an id, and sends a second copy of the response at once, split over two reads or before the next response. No caller may get the body of another request, be told "not run" for a request that has run, or have one run twice. The tests of repeated refusals use the same upstream; what they check is unchanged.

--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,13 +5,19 @@
 import socket
 import struct
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from shallotwharf.platform import header_format
 from tests import callnodes
 from tests.adapters import test_calls as raw_calls
 
 SIGNED_HEADERS = b'Attempt-Id: a1\r\nResponse-Signature: s\r\n'
+RUN = b''
+# Headers of a refusal, with and without the id of its request.
+WITH_ID = b'Not-Executed: 1\r\nAttempt-Id: %b\r\n'
+BARE = b'Not-Executed: %.0b1\r\n'
 
 
 def build_answer(body=b'ok', more=SIGNED_HEADERS, status=b'200 OK'):
@@ -103,57 +109,62 @@
 
 
 class RepeatingUpstream:
-    """Upstream that repeats its last refusal before its next response.
+    """Upstream that sends each response a second time.
 
     Attributes:
-        refused: how many requests of an id are refused before one is run.
-        more: headers of a refusal, as a function of the request's id.
+        script: for each request in turn whether it is run (`RUN`) or refused,
+            with or without an id, and how many bytes of the second copy follow
+            the response at once; the rest precedes the next response.
         runs: ids of the requests that it ran.
         connections: number of connections that it accepted.
     """
 
-    def __init__(self, refused, more):
-        self.refused = refused
-        self.more = more
+    def __init__(self, script):
+        self.script = list(script)
         self.runs = []
         self.connections = 0
 
     async def async_serve(self, reader, writer):
         self.connections += 1
-        repeated = b''
+        late = b''
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
-                await reader.readexactly(1)
-                number = re.search(rb'Attempt-Id: (\w+)', head)[1]
-                answer, earlier = self.answer(number), repeated
-                repeated = answer if b'Not-Executed' in answer else b''
-                if earlier:
-                    writer.write(earlier)
-                    await asyncio.sleep(0.01)
-                writer.write(answer)
-        except asyncio.IncompleteReadError:
+                if head.startswith(b'POST'):
+                    await reader.readexactly(1)
+                answer, early = self.answer(head)
+                if late:
+                    writer.write(late)
+                    await asyncio.sleep(0.003)
+                late = b'' if early is None else answer[early:]
+                writer.write(answer + answer[: early or 0])
+        except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
-    def answer(self, number):
-        if self.refused.get(number):
-            self.refused[number] -= 1
-            more = b'Not-Executed: 1\r\n' + self.more(number)
-            return build_answer(status=b'503 Busy', more=more)
+    def answer(self, head):
+        number = re.search(rb'Attempt-Id: (\w+)', head)[1]
+        kind, early = self.script.pop(0) if self.script else (RUN, None)
+        if kind != RUN:
+            return build_answer(b'', kind % number, b'503 Busy'), early
         self.runs.append(number)
-        return build_answer(more=SIGNED_HEADERS.replace(b'a1', number))
+        more = SIGNED_HEADERS.replace(b'a1', number)
+        return build_answer(number, more), early
 
 
-async def async_post(node, number):
-    status, _ = await raw_calls.async_call(
-        node, 'POST', '/cut', f'Attempt-Id: {number}', body='x'
+async def async_send(node, number, method='POST'):
+    path = '/cut' if method == 'POST' else '/'
+    return await raw_calls.async_call(
+        node,
+        method,
+        path,
+        f'Attempt-Id: {number}',
+        body='x' if method == 'POST' else None,
     )
-    return status
 
 
-async def async_build_repeating(refused, more, count=1):
+async def async_build_repeating(script, count):
     nodes, _ = await async_build(build_answer(), count)
-    raw = RepeatingUpstream(refused, more)
+    raw = RepeatingUpstream(script)
     port = callnodes.find_port()
     await asyncio.start_server(raw.async_serve, callnodes.HOST, port)
     nodes[-1].announce(port, instance='i-2')
@@ -166,30 +177,60 @@
 async def test_repeated_refusal_without_an_id_ends_no_later_request(
     count, refusals
 ):
-    nodes, raw = await async_build_repeating(
-        {b'a1': refusals}, lambda _: b'', count
-    )
-    first, later = [await async_post(nodes[0], name) for name in ('a1', 'a2')]
+    nodes, raw = await async_build_repeating([(BARE, 0)] * refusals, count)
+    first, _ = await async_send(nodes[0], 'a1')
     assert (first, raw.runs.count(b'a1')) in {(503, 0), (200, 1)}
-    assert (later, raw.runs.count(b'a2')) == (200, 1)
+    assert await async_send(nodes[0], 'a2') == (200, b'a2')
+    assert raw.runs.count(b'a2') == 1
 
 
 @pytest.mark.parametrize('count', [1, 2])
 @raw_calls.on_loop
 async def test_repeated_refusal_with_an_id_does_not_end_its_retry(count):
-    nodes, raw = await async_build_repeating(
-        {b'a1': 2}, b'Attempt-Id: %b\r\n'.__mod__, count
-    )
-    assert await async_post(nodes[0], 'a1') == 200
+    nodes, raw = await async_build_repeating([(WITH_ID, 0)] * 2, count)
+    assert await async_send(nodes[0], 'a1') == (200, b'a1')
     assert raw.runs == [b'a1']
 
 
 @raw_calls.on_loop
 async def test_responses_with_ids_keep_their_connection():
-    nodes, raw = await async_build_repeating(
-        {b'a3': 1}, b'Attempt-Id: %b\r\n'.__mod__, 2
-    )
+    script = [(RUN, None)] * 3 + [(WITH_ID, None)]
+    nodes, raw = await async_build_repeating(script, 2)
     for number in range(9):
-        assert await async_post(nodes[0], f'a{number}') == 200
+        assert (await async_send(nodes[0], f'a{number}'))[0] == 200
     # The retry of the refused request needs another one.
     assert raw.connections == 2
+
+
+@hypothesis.settings(max_examples=40)
+@hypothesis.given(
+    strategies.integers(1, 2),
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([RUN, BARE, WITH_ID]),
+            strategies.sampled_from([None, 0, 0, 60]),
+        ),
+        min_size=4,
+        max_size=8,
+    ),
+    strategies.lists(
+        strategies.sampled_from(['GET', 'POST']), min_size=2, max_size=4
+    ),
+)
+@hypothesis.example(1, [(BARE, 0)] * 3, ['POST', 'POST'])
+@hypothesis.example(2, [(WITH_ID, 0)] * 2, ['POST', 'GET'])
+@raw_calls.on_loop
+async def test_second_copy_of_a_response_ends_no_other_request(
+    count, script, methods
+):
+    nodes, raw = await async_build_repeating(script, count)
+    for order, method in enumerate(methods):
+        number = f'a{order}'
+        status, body = await async_send(nodes[0], number, method)
+        ran = raw.runs.count(number.encode())
+        if status == 200:
+            assert body == number.encode()
+        if method == 'POST':
+            assert (status, ran) in {(200, 1), (503, 0), (502, 0), (502, 1)}
+    for node in nodes:
+        await node.async_close()
