Fail a request that follows a repeated response to HEAD

Cause: a response to HEAD may state a length without having a body. If a target repeated one while a GET was pending on the same connection, the copy was read as a response with a body, and swallowed the head of the right response. It was dropped for its id, but what followed was read from the middle of the right body: a body with the text of a response gave the caller that text as its answer.

Change: a response of another request ends the connection at once if a request with the method HEAD was sent on it, since its end is unknown. The request that was pending counts as one that may have run; what may be repeated is sent again. Connections without HEAD, and those without repeated responses, are not affected.

Measured: test_repeated_response_to_head_does_not_hide_the_next_one failed before, with one node and with two: the caller got the inner text. It passes now.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -130,6 +130,7 @@
         '_skipped',
         '_held_bytes',
         '_failed_ids',
+        '_has_carried_head',
         'idle_since',
         'idle_limit',
     )
@@ -150,6 +151,8 @@
         self._held_bytes = 0
         # Ids of the requests that did not succeed on this connection.
         self._failed_ids: set[str] = set()
+        # Whether a request on this connection had the method HEAD.
+        self._has_carried_head = False
         self.idle_since: float = 0
         # Keep-alive timeout of the peer in seconds; 0 if not stated.
         self.idle_limit: float = 0
@@ -174,6 +177,8 @@
             return
         self._sent = True
         line = outgoing.start_line
+        if line.method == headers.METHOD_HEAD:
+            self._has_carried_head = True
         responses.write_message(
             typing.cast(asyncio.Transport, self._transport),
             wire.build_head(
@@ -250,6 +255,12 @@
             line.code, line.reason, response_headers, b''
         )
         outgoing = typing.cast(Outgoing, self._current)
+        if self._has_carried_head and (
+            outgoing.match_response(response_headers) is responses.Match.FOREIGN
+        ):
+            # It may or may not have a body, so its end is unknown.
+            self.fail(REASON_MALFORMED)
+            return 0
         self._close_after = (
             line.version != 'HTTP/1.1'
             or headers.closes_connection(
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -44,6 +44,7 @@
     (ATTEMPT, DEADLINE, RETRIED, FORWARDED),
 )
 CLOSE: typing.Final = 'close'
+METHOD_HEAD: typing.Final = 'HEAD'
 _FLAG_SET: typing.Final = '1'
 _REPORTED: typing.Final = frozenset(
     (
@@ -115,7 +116,7 @@
 def is_empty(status: int, method: str) -> bool:
     """Return whether a response has no body, regardless of its headers."""
     return (
-        method == 'HEAD'
+        method == METHOD_HEAD
         or status in {204, 304}  # noqa: WPS432
         or is_informational(status)
     )
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -234,3 +234,18 @@
             assert (status, ran) in {(200, 1), (503, 0), (502, 0), (502, 1)}
     for node in nodes:
         await node.async_close()
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@raw_calls.on_loop
+async def test_repeated_response_to_head_does_not_hide_the_next_one(count):
+    """Guards against a body that is read as a response of its own."""
+    forged = build_answer(b'forged', SIGNED_HEADERS.replace(b'a1', b'a2'))
+    whole = build_answer(forged, SIGNED_HEADERS.replace(b'a1', b'a2'))
+    size = len(whole) - len(forged)
+    late = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n' % size
+    late += SIGNED_HEADERS + b'\r\n'
+    nodes, raw = await async_build(late, count)
+    assert await async_send(nodes[0], 'a1', 'HEAD') == (200, b'')
+    raw.response = lambda _: late + whole if len(raw.requests) == 2 else whole
+    assert await async_send(nodes[0], 'a2', 'GET') == (200, forged)
