--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -306,6 +306,7 @@
             self._skip_response()
             return
         if match is responses.Match.UNPROVED:
+            self._pool.counters.add('outbound.unproved')
             self._close_after = True
         if outgoing.request_id and not headers.is_success(response.status):
             self._remember_failure(outgoing.request_id)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -182,6 +182,7 @@
     assert (first, raw.runs.count(b'a1')) in {(503, 0), (200, 1)}
     assert await async_send(nodes[0], 'a2') == (200, b'a2')
     assert raw.runs.count(b'a2') == 1
+    assert nodes[-1].counters.read('outbound.unproved') == refusals
 
 
 @pytest.mark.parametrize('count', [1, 2])
