--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -1,7 +1,9 @@
 """One persistent HTTP/1.1 connection to an upstream or another node.
 
 It carries one request at a time, so that a response belongs to the request
-that was sent last. Bytes that arrive without a pending request close it.
+that was sent last. Bytes that arrive without a pending request close it. An
+upstream may repeat a response, so only a response that can be told from its
+repetition lets the connection carry another request.
 """
 
 import abc
@@ -25,13 +27,15 @@
 # Limit of informational responses, and late ones to earlier requests, that
 # precede the response to a request.
 _MAX_SKIPPED_RESPONSES: typing.Final = 16
+# Limit of the ids that a connection remembers; it closes at the limit.
+MAX_FAILED_IDS: typing.Final = 256
 
 OnDone: typing.TypeAlias = collections_abc.Callable[
     [calls.Result, responses.Response | None], None
 ]
 
-MatchesRequest: typing.TypeAlias = collections_abc.Callable[
-    [httputil.HTTPHeaders], bool
+MatchResponse: typing.TypeAlias = collections_abc.Callable[
+    [httputil.HTTPHeaders], responses.Match
 ]
 
 
@@ -44,10 +48,12 @@
         body: the complete body.
         prepare: called immediately before sending; returns False if too
             little time is left to send.
-        matches_request: returns whether a response with the given headers
+        match_response: returns whether a response with the given headers
             belongs to the request.
         allows_eof_body: whether the body of a response may be delimited by the
             close of the connection instead of a length.
+        request_id: id that the response echoes; may be sent again in a retry.
+            Empty if the response is not matched by such an id.
         on_done: called once with the result, unless the request was cancelled.
     """
 
@@ -57,8 +63,9 @@
         'body',
         'prepare',
         'on_done',
-        'matches_request',
+        'match_response',
         'allows_eof_body',
+        'request_id',
     )
 
     def __init__(
@@ -68,16 +75,18 @@
         body: bytes,
         prepare: collections_abc.Callable[[], bool],
         on_done: OnDone,
-        matches_request: MatchesRequest,
+        match_response: MatchResponse,
         allows_eof_body: bool = False,
+        request_id: str = '',
     ) -> None:
         self.start_line = start_line
         self.headers = request_headers
         self.body = body
         self.prepare = prepare
         self.on_done = on_done
-        self.matches_request = matches_request
+        self.match_response = match_response
         self.allows_eof_body = allows_eof_body
+        self.request_id = request_id
 
 
 class Owner(abc.ABC):
@@ -120,6 +129,8 @@
         '_close_delimited',
         '_skipped',
         '_held_bytes',
+        '_failed_ids',
+        '_has_carried_head',
         'idle_since',
         'idle_limit',
     )
@@ -138,6 +149,10 @@
         self._skipped = 0
         # Bytes of the response that count in the memory of the owner.
         self._held_bytes = 0
+        # Ids of the requests that did not succeed on this connection.
+        self._failed_ids: set[str] = set()
+        # Whether a request on this connection had the method HEAD.
+        self._has_carried_head = False
         self.idle_since: float = 0
         # Keep-alive timeout of the peer in seconds; 0 if not stated.
         self.idle_limit: float = 0
@@ -162,6 +177,8 @@
             return
         self._sent = True
         line = outgoing.start_line
+        if line.method == headers.METHOD_HEAD:
+            self._has_carried_head = True
         responses.write_message(
             typing.cast(asyncio.Transport, self._transport),
             wire.build_head(
@@ -171,6 +188,14 @@
             outgoing.body,
         )
 
+    def may_carry(self, outgoing: Outgoing) -> bool:
+        """Return whether a response could be told from an earlier one.
+
+        A retry has the id of the failed attempt, so a repetition of the
+        earlier response would match it.
+        """
+        return outgoing.request_id not in self._failed_ids
+
     def cancel(self, outgoing: Outgoing) -> None:
         """Close the connection if it still carries this request."""
         if self._current is outgoing:
@@ -230,6 +255,12 @@
             line.code, line.reason, response_headers, b''
         )
         outgoing = typing.cast(Outgoing, self._current)
+        if self._has_carried_head and (
+            outgoing.match_response(response_headers) is responses.Match.FOREIGN
+        ):
+            # It may or may not have a body, so its end is unknown.
+            self.fail(REASON_MALFORMED)
+            return 0
         self._close_after = (
             line.version != 'HTTP/1.1'
             or headers.closes_connection(
@@ -267,14 +298,18 @@
         if headers.is_informational(response.status):
             self._skip_response()
             return
-        outgoing = self._current
-        if outgoing is not None and not outgoing.matches_request(
-            response.headers
-        ):
+        outgoing = typing.cast(Outgoing, self._current)
+        match = outgoing.match_response(response.headers)
+        if match is responses.Match.FOREIGN:
             # A late response to an earlier request; the right one may follow.
             self._pool.counters.add('outbound.foreign')
             self._skip_response()
             return
+        if match is responses.Match.UNPROVED:
+            self._pool.counters.add('outbound.unproved')
+            self._close_after = True
+        if outgoing.request_id and not headers.is_success(response.status):
+            self._remember_failure(outgoing.request_id)
         response.body = body
         self.idle_limit = headers.read_keep_alive(response.headers)
         self._finish_request(
@@ -289,6 +324,11 @@
             self._reader.resume()
             self._pool.add_idle(self)
 
+    def _remember_failure(self, request_id: str) -> None:
+        self._failed_ids.add(request_id)
+        if len(self._failed_ids) >= MAX_FAILED_IDS:
+            self._close_after = True
+
     def _release_memory(self) -> None:
         self._pool.memory.hold(-self._held_bytes)
         self._held_bytes = 0
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -147,14 +147,13 @@
         if isinstance(admission, calls.Admitted):
             headers.strip_internal_headers(self._headers)
             self._instance = admission.instance
+            used_format = self._services.header_format
             self._send(
                 admission.host,
                 admission.port,
                 self._end_entered,
-                functools.partial(
-                    self._services.header_format.matches_request,
-                    self._headers,
-                ),
+                functools.partial(used_format.match_response, self._headers),
+                used_format.find_request_id(self._headers),
             )
         elif isinstance(admission, calls.Refused):
             self._resume(
@@ -175,7 +174,8 @@
         host: str,
         port: int,
         on_done: connection.OnDone,
-        matches_request: connection.MatchesRequest,
+        match_response: connection.MatchResponse,
+        request_id: str = '',
     ) -> None:
         self._outgoing = connection.Outgoing(
             self._start_line,
@@ -183,8 +183,9 @@
             self._request.body,
             self._prepare,
             on_done,
-            matches_request,
+            match_response,
             allows_eof_body=self._services.header_format.allows_eof_body,
+            request_id=request_id,
         )
         self._connection = self._services.outbound.send(
             host,
@@ -355,9 +356,9 @@
             self._timer.cancel()
 
 
-def _accept_any(_response_headers: httputil.HTTPHeaders) -> bool:
+def _accept_any(_response_headers: httputil.HTTPHeaders) -> responses.Match:
     """Accept any response of a node: `_end_forwarded` checks its attempt."""
-    return True
+    return responses.Match.PROVED
 
 
 # Methods that execute the steps of a plan.
