Close a connection that holds the first bytes of a second response

What callers saw: if an upstream sent a complete response and the first bytes of another in the same read, the connection was used again. The next response on it was joined to these bytes. After `HTTP/1.1 200 ` a 500 reached its caller as a 200 with the body of the 500; after a shorter part the next call failed with 502.

Cause: the connection is kept if `count_buffered` is 0. The parser has reported nothing of a start line before its reason phrase, so up to 13 bytes of a message counted as 0 bytes.

Change: each undelivered message counts as one byte at least. The connection is then closed as it is for any other bytes without a pending request, so the next request is sent on a new one.

Measured: the new tests cut the second response at every position of its head, with both header formats, through one hop and two. The raw upstream of the tests ends quietly when its connection is reset.

--- a/shallotwharf/adapters/wire.py
+++ b/shallotwharf/adapters/wire.py
@@ -150,9 +150,14 @@
         return self._is_paused
 
     def count_buffered(self) -> int:
-        """Return the approximate number of received, undelivered bytes."""
+        """Return the approximate number of received, undelivered bytes.
+
+        It is 0 only if no part of a message is undelivered.
+        """
+        # The parser does not report the bytes of a start line before its text.
         buffered = sum(
-            message.head_size + message.size for message in self._messages
+            max(message.head_size + message.size, 1)
+            for message in self._messages
         )
         return buffered + self._excess_bytes
 
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -50,7 +50,7 @@
                 writer.write(response.removesuffix(b'CUT'))
                 if not response or response.endswith(b'CUT'):
                     break
-        except asyncio.IncompleteReadError:
+        except (asyncio.IncompleteReadError, ConnectionError):
             self.lost += 1
         writer.close()
 
@@ -369,6 +369,23 @@
     assert nodes[0].counters.read('outbound.unsolicited') == 5
 
 
+@pytest.mark.parametrize('count', [1, 2])
+@on_loop
+async def test_start_of_a_second_response_never_joins_the_next_one(count):
+    """Guards against a failure that gets the status of leftover bytes."""
+    second = OK[: OK.index(b'ok')]
+    failure = OK.replace(b'200', b'500')
+    nodes, raw = await async_build(OK, count)
+    for end in range(1, len(second) + 1):
+        responses = iter([OK + second[:end], failure])
+        raw.response = lambda _: next(responses)
+        assert await async_call(nodes[0]) == (200, b'ok')
+        got = await async_call(nodes[0], 'POST', '/cut', body='x')
+        assert got == (500, b'ok'), second[:end]
+    unsolicited = nodes[-1].counters.read('outbound.unsolicited')
+    assert unsolicited == len(second)
+
+
 @on_loop
 async def test_response_of_a_node_to_another_attempt_is_dropped():
     crossed = OK.replace(b'\r\n\r\n', b'\r\nShallotwharf-Attempt: x\r\n\r\n')
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -45,6 +45,22 @@
     assert nodes[-1].counters.read('outbound.foreign') == 1
 
 
+@pytest.mark.parametrize('count', [1, 2])
+@raw_calls.on_loop
+async def test_start_of_a_second_response_never_joins_the_next_one(count):
+    """Guards against a failure that gets the status of leftover bytes."""
+    second = build_answer(b'')
+    nodes, raw = await async_build(second, count)
+    for end in range(1, len(second) + 1):
+        responses = iter(
+            [build_answer() + second[:end], build_answer(status=b'500 Oops')]
+        )
+        raw.response = lambda _: next(responses)
+        assert await async_call(nodes[0]) == (200, b'ok')
+        got = await async_call(nodes[0], 'POST', '/cut')
+        assert got == (500, b'ok'), second[:end]
+
+
 @pytest.mark.parametrize('count', [1, 2])
 @raw_calls.on_loop
 async def test_response_without_a_length_ends_with_its_connection(count):
