Test responses that are cut at every byte

Cause: another operator reported a 200 with an empty or short body after an upstream stopped in the middle of a head and closed. Only a few cuts were tested here.

Change: tests only. The upstream, or the second node, cuts its response at each byte of head and body, then closes, resets or stays silent; with a length (first and last header), chunks with extension and trailer, and neither; HTTP/1.0; without a reason phrase; on new and reused connections; after informational responses and, on the platform, after a complete late response. One hop and two, both header formats. The caller gets 502 (504 after silence), never "not run", and a call that is not idempotent arrives once. The raw upstream of the tests can reset its connection.

--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -7,6 +7,8 @@
 import functools
 import json
 import re
+import socket
+import struct
 
 import pytest
 
@@ -18,13 +20,23 @@
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 KEY = 'Idempotency-Key: 01890a5d-ac96-774b-bcce-b302099a8057'
+RESET = b'RST'
+
+
+def reset(writer):
+    """Close a connection by a reset, after the written data."""
+    # With a linger time of 0 the close of a socket resets its connection.
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
 
 
 class RawUpstream:
     """Upstream that responds to each request with the bytes of `response`.
 
-    Empty bytes close the connection. If the bytes end in `CUT`, they are sent
-    without this suffix and the connection is closed.
+    Empty bytes close the connection. If the bytes end in `CUT` or `RST`, they
+    are sent without this suffix and the connection is closed or reset.
     """
 
     def __init__(self, response):
@@ -47,8 +59,10 @@
                 response = self.response(head)
                 if asyncio.iscoroutine(response):
                     response = await response
-                writer.write(response.removesuffix(b'CUT'))
-                if not response or response.endswith(b'CUT'):
+                writer.write(response.removesuffix(b'CUT').removesuffix(RESET))
+                if response.endswith(RESET):
+                    reset(writer)
+                if not response or response.endswith((b'CUT', RESET)):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             self.lost += 1
@@ -78,6 +92,17 @@
     return nodes, raw
 
 
+def announce_node(nodes, port):
+    """Announce to the first node that the second one has another port."""
+    known = nodes[1].mesh.announcements
+    row = known['n1']
+    known['n1'] = row.replace(
+        node=row.node.replace(call_port=port),
+        generation=row.generation + 1,
+    )
+    nodes[0].deliver_announcements()
+
+
 def build_request(method, path, *lines, body=None):
     head = [f'{method} {path} HTTP/1.1', 'Host: x', 'Connection: close']
     if body is not None:
@@ -141,6 +166,104 @@
     assert len(raw.requests) == 1
 
 
+BODY = b'abc0123456789'
+HINTS = b'HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n'
+CHUNKS = b'3\r\nabc\r\n0A;x=y\r\n0123456789\r\n00\r\nX: a\r\n\r\n'
+# Responses with `BODY`. The last two end with the connection, so this header
+# format never takes them for complete.
+FRAMINGS = (
+    b'HTTP/1.1 200 OK\r\nX: a\r\nContent-Length: 13\r\n\r\n' + BODY,
+    b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\nX: a\r\n\r\n' + BODY,
+    b'HTTP/1.1 200\r\nContent-Length: 13\r\n\r\n' + BODY,
+    b'HTTP/1.0 200 OK\r\nContent-Length: 13\r\n\r\n' + BODY,
+    b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n' + CHUNKS,
+    b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n' + BODY,
+    b'HTTP/1.0 200 OK\r\nX: a\r\n\r\n' + BODY,
+)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize('end', [b'CUT', RESET])
+@pytest.mark.parametrize('whole', FRAMINGS)
+@on_loop
+async def test_response_cut_at_any_byte_is_no_success(whole, end, count):
+    """Guards against a partial response that is framed as a complete one."""
+    nodes, raw = await async_build(OK, count)
+    for size in range(1, len(whole) + 1):
+        raw.response = lambda head: (
+            whole[:size] + end if b'POST' in head else OK
+        )
+        if size % 9 == 0:
+            # Ten failures in a row would make the upstream unhealthy.
+            assert await async_call(nodes[0]) == (200, b'ok')
+        got = await async_call(nodes[0], 'POST', '/cut', body='x')
+        if size == len(whole) and whole not in FRAMINGS[-2:]:
+            assert got == (200, BODY)
+        else:
+            status, _, not_run = parse_refusal(got)
+            assert (status, not_run) == (502, False), whole[:size]
+    # The call is not idempotent, so it must not be retried.
+    cut = [text for text in raw.requests if text.startswith(b'POST')]
+    assert len(cut) == len(whole)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize('end', [b'CUT', RESET])
+@pytest.mark.parametrize('before', [b'', HINTS, HINTS + HINTS])
+@on_loop
+async def test_cut_response_on_a_reused_connection_is_no_success(
+    before, end, count
+):
+    """Guards against state of earlier responses that completes a later one."""
+    nodes, raw = await async_build(OK, count)
+    for size in range(1, len(OK)):
+        raw.response = lambda head: (
+            before + OK[:size] + end if b'POST' in head else OK
+        )
+        assert await async_call(nodes[0]) == (200, b'ok')
+        got = await async_call(nodes[0], 'POST', '/cut', body='x')
+        status, _, not_run = parse_refusal(got)
+        assert (status, not_run) == (502, False), OK[:size]
+    assert nodes[-1].counters.read('outbound.connections') == len(OK) - 1
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@on_loop
+async def test_response_that_stops_at_any_byte_is_late_and_may_have_run(count):
+    """Guards against a partial response that is sent at the deadline."""
+    nodes, raw = await async_build(OK, count, slots=100)
+    deadline = 'Shallotwharf-Deadline-Ms: 400'
+    sizes = iter(range(len(OK)))
+    raw.response = lambda _: OK[: next(sizes)] or HINTS
+    responses = await asyncio.gather(
+        *(async_call(nodes[0], 'POST', '/cut', deadline, body='x') for _ in OK)
+    )
+    for got in responses:
+        assert parse_refusal(got) == (504, 'deadline_passed', False)
+    assert len(raw.requests) == len(OK)
+
+
+@pytest.mark.parametrize('end', [b'CUT', RESET])
+@on_loop
+async def test_response_of_a_node_cut_at_any_byte_is_no_success(end):
+    """Guards against a node that stops while it writes a response."""
+    nodes, _ = await async_build(OK, 2)
+    other = await RawUpstream(OK).async_start()
+    announce_node(nodes, other.port)
+
+    def respond(head):
+        echoed = re.search(rb'Shallotwharf-Attempt: \S+\r\n', head)[0]
+        whole = OK.replace(b'Content-', echoed + b'Content-')
+        return whole[: max(len(whole) - missing, 1)] + end
+
+    other.response = respond
+    for missing in range(1, 120):
+        got = await async_call(nodes[0], 'POST', '/cut', body='x')
+        status, _, not_run = parse_refusal(got)
+        assert (status, not_run) == (502, False)
+    assert len(other.requests) == 119
+
+
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -221,9 +344,20 @@
 
 
 @pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize(
+    'truncated',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxCUT',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxRST',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9CUT',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9RST',
+    ],
+)
 @on_loop
-async def test_idempotent_call_is_retried_after_a_truncated_response(count):
-    responses = iter([b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nxCUT', OK])
+async def test_idempotent_call_is_retried_after_a_truncated_response(
+    truncated, count
+):
+    responses = iter([truncated, OK])
     nodes, raw = await async_build(lambda _: next(responses), count)
     assert await async_call(nodes[0]) == (200, b'ok')
     assert b'Shallotwharf-Retried: 1' in raw.requests[1]
@@ -391,13 +525,7 @@
     crossed = OK.replace(b'\r\n\r\n', b'\r\nShallotwharf-Attempt: x\r\n\r\n')
     nodes, raw = await async_build(OK, 2)
     fake = await RawUpstream(crossed).async_start()
-    known = nodes[1].mesh.announcements
-    row = known['n1']
-    known['n1'] = row.replace(
-        node=row.node.replace(call_port=fake.port),
-        generation=row.generation + 1,
-    )
-    nodes[0].deliver_announcements()
+    announce_node(nodes, fake.port)
     got = await async_call(nodes[0], 'POST', '/cut', body='x')
     assert parse_refusal(got) == (502, 'attempt_mismatch', False)
     assert nodes[0].counters.read('outbound.crossed') == 1
--- a/tests/adapters/test_wire.py
+++ b/tests/adapters/test_wire.py
@@ -84,6 +84,54 @@
     assert not found.found
 
 
+class Responses(Messages):
+    def __init__(self):
+        super().__init__()
+        self.reader = wire.ResponseReader(self)
+
+    def receive_head(self, start_line, headers):
+        self.head = (start_line, sorted(headers.get_all()))
+        length = wire.find_body_length(headers)
+        return None if length == -1 else length
+
+
+STATUS_LINES = (
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 200\r\n',
+    b'HTTP/1.0 200 OK\r\n',
+    b'HTTP/1.1 200 OK\n',
+)
+RESPONSE_HEADERS = (
+    b'Content-Length: 12\r\n\r\n',
+    b'Transfer-Encoding: chunked\r\n\r\n',
+    b'\r\n',
+    b'X: a\r\n\r\n',
+    b'X: a\n\n',
+    b'X: a\r\n\n',
+    b'X: a\r\n b\r\n\r\n',
+    b'Content-Length:\r\n 12\r\n\r\n',
+    b'Content-Length: 12\rX: a\r\n\r\n',
+    b'Content-Length: 1\r\n 2\r\n\r\n',
+)
+
+
+@pytest.mark.parametrize('line', STATUS_LINES)
+@pytest.mark.parametrize('headers', RESPONSE_HEADERS)
+@pytest.mark.parametrize('step', [1, 7, 99])
+def test_head_cut_at_any_byte_is_not_completed_by_the_end(line, headers, step):
+    """Guards against an empty body after a head that broke off."""
+    head = line + headers
+    for end in range(len(head)):
+        found = Responses()
+        try:
+            for start in range(0, end, step):
+                found.feed(head[start : min(start + step, end)])
+            found.reader.finish()
+        except httputil.HTTPInputError:
+            pass
+        assert not found.found and found.head is None, head[:end]
+
+
 @pytest.mark.parametrize(
     'text',
     [
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,8 +1,6 @@
 """Guards against mismatched, unsigned and forged messages over sockets."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -69,6 +67,75 @@
     assert await async_call(nodes[0], 'POST', '/cut') == (200, b'whole')
 
 
+LATE = build_answer(b'late', b'Attempt-Id: a0\r\nResponse-Signature: s\r\n')
+LENGTH = b'Content-Length: 13\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+# Bytes before a response, its headers without the end, and its body.
+FRAMINGS = (
+    (b'', LENGTH + SIGNED_HEADERS, raw_calls.BODY),
+    (b'', SIGNED_HEADERS + LENGTH, raw_calls.BODY),
+    (b'', SIGNED_HEADERS + CHUNKED, raw_calls.CHUNKS),
+    (b'', b'Connection: close\r\n' + SIGNED_HEADERS, raw_calls.BODY),
+    (raw_calls.HINTS, SIGNED_HEADERS, raw_calls.BODY),
+    (LATE, SIGNED_HEADERS, raw_calls.BODY),
+    (LATE + raw_calls.HINTS, SIGNED_HEADERS + LENGTH, raw_calls.BODY),
+)
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize('end', [b'CUT', raw_calls.RESET])
+@pytest.mark.parametrize(('before', 'headers', 'body'), FRAMINGS)
+@raw_calls.on_loop
+async def test_response_cut_at_any_byte_is_no_success(
+    before, headers, body, end, count
+):
+    """Guards against a partial response that is framed as a complete one.
+
+    Only a response without a length is complete when its connection closes
+    after the head; a reset does not complete it.
+    """
+    head = b'HTTP/1.1 200 OK\r\n' + headers + b'\r\n'
+    ends_at_close = LENGTH not in headers and CHUNKED not in headers
+    nodes, raw = await async_build(build_answer(), count)
+    for size in range(len(head + body) + 1):
+        text = before + (head + body)[:size]
+        raw.response = lambda head: (
+            text + end if b'POST' in head else build_answer()
+        )
+        if size % 9 == 0:
+            # Ten failures in a row would make the upstream unhealthy.
+            assert await async_call(nodes[0]) == (200, b'ok')
+        status, got = await async_call(nodes[0], 'POST', '/cut')
+        if ends_at_close and end == b'CUT' and size >= len(head):
+            assert (status, got) == (200, body[: size - len(head)])
+        elif size == len(head + body) and not ends_at_close:
+            assert (status, got) == (200, raw_calls.BODY)
+        else:
+            assert status == 502 and b'"not_run": false' in got, text
+
+
+@pytest.mark.parametrize('count', [1, 2])
+@pytest.mark.parametrize('length', [b'', LENGTH])
+@raw_calls.on_loop
+async def test_response_that_stops_at_any_byte_is_no_success(length, count):
+    """Guards against a partial response that is sent at the deadline."""
+    whole = b'HTTP/1.1 200 OK\r\n' + SIGNED_HEADERS + length + b'\r\nok'
+    nodes, raw = await async_build(build_answer(), count)
+    nodes[-1].announce(raw.port, slots=200, instance='i-1')
+    await asyncio.sleep(0.01)
+    sizes = iter(range(1, len(whole) + 1))
+    raw.response = lambda _: whole[: next(sizes)]
+    answers = await asyncio.gather(
+        *(
+            async_call(nodes[0], 'POST', '/cut', 'Deadline-Ms: 500')
+            for _ in whole
+        )
+    )
+    assert {status for status, _ in answers} == {504}
+    assert all(b'"not_run": false' in body for _, body in answers)
+    assert len(raw.requests) == len(whole)
+
+
 @pytest.mark.parametrize(
     ('answer', 'status'),
     [
@@ -103,11 +170,7 @@
         writer.write(b'HTTP/1.1 200 OK\r\n' + SIGNED_HEADERS + b'\r\npart')
         await writer.drain()
         await asyncio.sleep(0.05)
-        # With a linger time of 0 the socket is closed by a reset.
-        writer.get_extra_info('socket').setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
-        writer.transport.abort()
+        raw_calls.reset(writer)
 
     nodes, _ = await async_build(build_answer())
     port = callnodes.find_port()
