--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -165,12 +165,13 @@
             upstream_messages.DrainRequested(is_final=True), local_name
         )
         await asyncio.sleep(self._compute_remaining_seconds(leaves_at))
-        await self._servers[0].async_wait_until_quiet(
+        public, private = self._servers
+        await public.async_wait_until_quiet(
             self._compute_remaining_seconds(ends_at)
         )
         finished = [
             await closed.async_close(self._compute_remaining_seconds(ends_at))
-            for closed in self._servers
+            for closed in (public, private)
         ]
         logs.write(
             'calls_finished',
