Do not reuse a connection whose end has been read

What callers saw: a 502 `closed_without_answer`, not retried if the call is not idempotent, for a request that was never sent.

Cause: after the end of the stream is read, asyncio closes the transport and calls `connection_lost` one step of the event loop later. Until then the connection counted as open in the pool. A request that another connection delivered in the same step was given to it, and the closing transport dropped what was written.

Change: `eof_received` marks the connection as closed. The pool passes over closed connections, so the request is sent on another one.

Measured: the new test fails before the change, because the pool returns the connection that has ended.

--- a/shallotwharf/adapters/connection.py
+++ b/shallotwharf/adapters/connection.py
@@ -206,9 +206,11 @@
             self.fail(REASON_MALFORMED)
 
     def eof_received(self) -> None:
-        """Complete a response whose body ends with the connection."""
+        """Complete a response that ends here; prevent the reuse."""
         if self._close_delimited and self._current is not None:
             self._reader.finish()
+        # The transport drops what is written until it calls connection_lost.
+        self._closed = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request whose response is incomplete."""
--- a/tests/adapters/test_outbound.py
+++ b/tests/adapters/test_outbound.py
@@ -1,4 +1,4 @@
-"""Guards against memory that many endless responses take together."""
+"""Guards against faults of the connections to upstreams and other nodes."""
 
 import asyncio
 
@@ -45,6 +45,39 @@
     )
 
 
+def test_request_is_not_sent_on_a_connection_that_its_peer_has_closed():
+    """Guards against a 502 for a request that was dropped, not sent.
+
+    The transport closes one step of the event loop after the end is read.
+    """
+
+    async def async_check():
+        port = callnodes.find_port()
+        server = await asyncio.start_server(
+            Upstreams().async_serve, callnodes.HOST, port
+        )
+        counted = counters.Counters()
+        sender = outbound.Outbound(counted)
+
+        def start():
+            ended = asyncio.get_running_loop().create_future()
+            outgoing = build_outgoing(
+                '/short', lambda got, _: ended.set_result(got.outcome)
+            )
+            return sender.send(callnodes.HOST, port, outgoing), ended
+
+        first, ended = start()
+        assert await ended == calls.OUTCOME_ANSWERED
+        first.eof_received()
+        second, ended = start()
+        assert second is not first
+        assert await ended == calls.OUTCOME_ANSWERED
+        sender.close()
+        server.close()
+
+    asyncio.run(async_check())
+
+
 def test_endless_responses_together_stay_within_the_memory():
     async def async_check():
         upstreams = Upstreams()
