Serve the connections in the queue of a listening socket that closes

What callers saw: a connection that was established in the moment of a planned stop was reset, or hung until its caller gave up.

Cause: asyncio.Server closes its socket with the connections in its queue, which resets them, and on Python 3.11 a connection that was accepted one step before the close fails an assertion and is dropped.

Change: a listener of our own accepts what is in the queue and closes the socket in the same step.

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -7,8 +7,15 @@
 
 from tornado import httputil
 
-from shallotwharf.adapters import exchange, headers, responses, services, wire
-from shallotwharf.core import calls, errors
+from shallotwharf.adapters import (
+    exchange,
+    headers,
+    listener,
+    responses,
+    services,
+    wire,
+)
+from shallotwharf.core import calls
 
 DEFAULT_MAX_BODY_BYTES: typing.Final = 4_194_304
 # Time limit from the first byte of a request to its last.
@@ -19,7 +26,6 @@
 _LINGER_SECONDS: typing.Final = 1.0
 # Buffered bytes of pipelined requests above which reading is paused.
 _PIPELINE_LIMIT_BYTES: typing.Final = 65_536
-_BACKLOG: typing.Final = 1024
 _CLOSE_POLL_SECONDS: typing.Final = 0.02
 # Polls without a running exchange before kept connections are closed: a request
 # may be on its way through the buffers of the connection.
@@ -56,7 +62,7 @@
         'closing',
         'is_public',
         '_connections',
-        '_server',
+        '_listener',
     )
 
     def __init__(
@@ -79,7 +85,7 @@
         self.closing = False
         self.is_public = is_public
         self._connections: set[CallConnection] = set()
-        self._server: asyncio.Server | None = None
+        self._listener: listener.Listener | None = None
 
     async def async_listen(self, host: str, port: int) -> int:
         """Listen on an IP address; return the port.
@@ -87,20 +93,10 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        try:
-            self._server = await asyncio.get_running_loop().create_server(
-                lambda: CallConnection(self),
-                host,
-                port,
-                backlog=_BACKLOG,
-            )
-        except OSError as error:
-            raise errors.LinkError(
-                f'cannot listen: {error.strerror}',
-                'inbound.listen',
-                f'{host}:{port}',
-            ) from error
-        return int(self._server.sockets[0].getsockname()[1])
+        self._listener = listener.Listener(
+            lambda: CallConnection(self), host, port
+        )
+        return self._listener.find_port()
 
     async def async_wait_until_quiet(self, limit_seconds: float) -> None:
         """Wait until no exchange runs and no request seems to be on its way.
@@ -123,8 +119,8 @@
         as if their deadlines had passed.
         """
         self.closing = True
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         await self.async_wait_until_quiet(limit_seconds)
         finished = not self.services.active
         for connection in list(self._connections):
