Write the last responses before a stop ends

Cause: the wait for running calls ended once a response was handed to its transport. The process could end with unsent bytes in it.

Change: the server also waits, within the limit, until its connections are closed, which happens when their last response is written.

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -115,17 +115,23 @@
 
         Requests that have arrived but were not read yet are served, too.
 
-        Returns whether all of them finished within the limit; the others end
-        as if their deadlines had passed.
+        Returns whether all of them finished within the limit and their
+        responses were written; the others end as if their deadlines had
+        passed.
         """
         self.closing = True
         if self._listener is not None:
             self._listener.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_seconds
         await self.async_wait_until_quiet(limit_seconds)
         finished = not self.services.active
         for connection in list(self._connections):
             connection.cut()
-        return finished
+        # A closed connection is removed once its last response is written.
+        while self._connections and loop.time() < end:
+            await asyncio.sleep(_CLOSE_POLL_SECONDS)
+        return finished and not self._connections
 
     def add(self, connection: 'CallConnection') -> None:
         """Add an open connection."""
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -609,6 +609,26 @@
     assert await closing
 
 
+@on_loop
+async def test_response_to_a_slow_caller_is_written_before_a_stop_ends():
+    body = b'x' * 8_000_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    nodes, _ = await async_build(head + body)
+    reader, writer = await asyncio.open_connection(
+        callnodes.HOST, nodes[0].port, limit=1024
+    )
+    writer.write(build_request('GET', '/'))
+    received = await reader.readuntil(b'\r\n\r\n')
+    closing = asyncio.ensure_future(nodes[0].server.async_close(5))
+    while not reader.at_eof():
+        await asyncio.sleep(0.001)
+        received += await reader.read(100_000)
+        # Bytes that a transport holds are lost when the process ends.
+        assert not (closing.done() and nodes[0].server._connections)
+    assert received.endswith(body)
+    assert await closing
+
+
 @on_loop
 async def test_request_that_arrives_when_nothing_runs_is_answered_at_a_stop():
     """Guards against a kept connection that is closed with a request in it."""
