Forget an exchange whose caller is closing its connection

What callers could see: at the end of a stop, calls that still ran got no response if another caller had half-closed its connection with unread bytes.

Cause: a response that could not be written left its finished exchange on the connection. The end of the stop expired it again, which raised 'no attempt is under way' before the other connections were handled.

Change: the connection forgets its exchange when that responds, written or not.

Evidence: the test, found in review, failed before with this error and passes now.

--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -246,6 +246,7 @@
 
     def respond(self, response: responses.Response) -> None:
         """Write the response of the exchange; then read the next request."""
+        self._exchange = None
         transport = self._find_transport()
         if transport.is_closing():
             return
@@ -261,7 +262,6 @@
             ),
             b'' if empty else response.body,
         )
-        self._exchange = None
         if self._lingering:
             self._linger()
         elif close_after:
