Refuse attempts of other nodes that may outlast a stopping node

What callers could see: 504 for a call that another node had sent to the upstream of a stopping node, although a third one could have run it.

Change: the gate follows StopBegan, too, and refuses an attempt whose deadline lies after the end of the shutdown (stopping); the other node tries elsewhere. It replaces the flag of DrainRequested that kept the gate closed.

Evidence: the test of the node process, found in review, got 504 before and gets 503 now; the test of the gate covers the deadline at the limit and 1 ms later.

--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -6,6 +6,8 @@
 REASON_QUEUE_FULL: typing.Final = 'queue_full'
 REASON_DEADLINE: typing.Final = 'deadline_too_short'
 REASON_DRAINING: typing.Final = 'draining'
+# The node shuts down before the deadline of the attempt.
+REASON_STOPPING: typing.Final = 'stopping'
 REASON_WARMING: typing.Final = 'warming'
 REASON_UNHEALTHY: typing.Final = 'unhealthy'
 REASON_POISON: typing.Final = 'poison_request'
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from shallotwharf.components.call import messages as call
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.upstream import (
     announcer,
@@ -36,6 +37,7 @@
         upstream.UpstreamReported: 'apply_report',
         upstream.UpstreamEnded: 'apply_ended',
         upstream.DrainRequested: 'apply_drain',
+        call.StopBegan: 'apply_stop',
         upstream.UpstreamLeft: 'apply_left',
         upstream.HealthReported: 'apply_health',
         messages.TimerFired: 'fire_timer',
@@ -121,17 +123,25 @@
 
     def apply_drain(
         self,
-        message: upstream.DrainRequested,
+        _message: upstream.DrainRequested,
         _sender: str,
         now: int,
     ) -> list[effects.Effect]:
         """Refuse queued and new attempts; running requests finish."""
-        if message.is_final:
-            self._offer.close()
         if self._offer.drain():
             self._refuse_queued(const.REASON_DRAINING)
         return self._process_changes(now)
 
+    def apply_stop(
+        self,
+        message: call.StopBegan,
+        _sender: str,
+        _now: int,
+    ) -> list[effects.Effect]:
+        """Refuse new attempts that may not end before the process does."""
+        self._offer.limit(message.ends_at)
+        return []
+
     def apply_left(
         self,
         _message: upstream.UpstreamLeft,
@@ -180,7 +190,7 @@
             return self._refuse(reason)
         if self._queue:
             self._process_queue(now)
-        if not self._queue and self._has_room(now):
+        if not self._queue and self._offer.has_room(self.count_running(), now):
             admitted = self._admit(step, request, now)
             self._announce(now)
             return admitted
@@ -211,9 +221,6 @@
         """Return the number of running requests."""
         return len(self._tracker.running)
 
-    def _has_room(self, now: int) -> bool:
-        return len(self._tracker.running) < self._offer.count_slots(now)
-
     def _find_refusal(
         self,
         step: calls.Enter,
@@ -295,7 +302,7 @@
             self._send_reply(late.step.attempt, self._refuse(reason))
         if not self._tracker.health.admits(now):
             self._refuse_queued(const.REASON_UNHEALTHY)
-        while self._queue and self._has_room(now):
+        while self._queue and self._offer.has_room(self.count_running(), now):
             entry = self._queue.pop()
             self._send_reply(
                 entry.step.attempt,
--- a/shallotwharf/components/upstream/messages.py
+++ b/shallotwharf/components/upstream/messages.py
@@ -47,17 +47,9 @@
 
 @messages.register('upstream.drain_requested')
 class DrainRequested(messages.Message):
-    """The upstream accepts no new requests, but finishes running ones.
+    """The upstream accepts no new requests, but finishes running ones."""
 
-    Attributes:
-        is_final: whether the node shuts down, so that this holds for every
-            upstream that starts beside it later.
-    """
-
-    __slots__ = ('is_final',)
-
-    def __init__(self, is_final: bool = False) -> None:
-        self.is_final = is_final
+    __slots__ = ()
 
 
 @messages.register('upstream.left')
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -13,13 +13,14 @@
         state: one of the `UPSTREAM_` constants of the membership.
     """
 
-    __slots__ = ('description', 'state', '_warmup_started_at', '_is_closed')
+    __slots__ = ('description', 'state', '_warmup_started_at', '_ends_at')
 
     def __init__(self) -> None:
         self.description: call_interfaces.UpstreamDescription | None = None
         self.state = membership.UPSTREAM_GONE
         self._warmup_started_at = 0
-        self._is_closed = False
+        # End of the shutdown of the node, in clock milliseconds.
+        self._ends_at: int | None = None
 
     def start(
         self, description: call_interfaces.UpstreamDescription, now: int
@@ -29,7 +30,7 @@
             return False
         self.description = description
         self.state = membership.UPSTREAM_WARMING
-        if self._is_closed:
+        if self._ends_at is not None:
             self.state = membership.UPSTREAM_DRAINING
         self._warmup_started_at = now
         return True
@@ -43,9 +44,19 @@
         self.state = membership.UPSTREAM_DRAINING
         return True
 
-    def close(self) -> None:
-        """Offer no slots of any upstream that starts from now on."""
-        self._is_closed = True
+    def limit(self, ends_at: int) -> None:
+        """Take no attempt that may outlast the shutdown of the node.
+
+        Slots of an upstream that starts from now on are not offered.
+
+        Args:
+            ends_at: end of the shutdown, in clock milliseconds.
+        """
+        self._ends_at = ends_at
+
+    def has_room(self, running: int, now: int) -> bool:
+        """Return whether a slot is free beside `running` requests."""
+        return running < self.count_slots(now)
 
     def count_slots(self, now: int) -> int:
         """Return the offered slots, which increase linearly while warming.
@@ -100,4 +111,6 @@
             or step.version != self.description.version
         ):
             return const.REASON_WRONG_UPSTREAM
+        if self._ends_at is not None and step.deadline_at > self._ends_at:
+            return const.REASON_STOPPING
         return ''
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -161,9 +161,7 @@
         await asyncio.sleep(
             self._compute_remaining_seconds(leaves_at - _DRAIN_LEAD_MS)
         )
-        dispatcher.deliver(
-            upstream_messages.DrainRequested(is_final=True), local_name
-        )
+        dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
         await asyncio.sleep(self._compute_remaining_seconds(leaves_at))
         public, private = self._servers
         await public.async_wait_until_quiet(
--- a/tests/components/upstream/test_reports.py
+++ b/tests/components/upstream/test_reports.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from shallotwharf.components.call import messages as call
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.upstream import gate, messages, settings
 from shallotwharf.core import call_interfaces, calls
@@ -48,7 +49,9 @@
 @pytest.mark.parametrize('instance', ['i1', 'i2'])
 def test_upstream_that_starts_during_a_shutdown_gets_no_requests(instance):
     made = build_gate(
-        build_report('i1', 1), messages.DrainRequested(is_final=True)
+        build_report('i1', 1),
+        call.StopBegan(0, 20_000),
+        messages.DrainRequested(),
     )
     made.handle(build_report(instance, 2, started_at=200), '', 0)
     assert not is_open(made)
@@ -79,6 +82,16 @@
     assert not is_open(made)
 
 
+@pytest.mark.parametrize(('deadline_at', 'is_taken'), [(5100, 1), (5101, 0)])
+def test_attempt_that_may_outlast_a_shutdown_is_refused(deadline_at, is_taken):
+    made = build_gate(build_report('i1', 1), call.StopBegan(2500, 5100))
+    step = ENTER.replace(deadline_at=deadline_at)
+    entered = made.enter(step, calls.Request('GET', '/'), 0)
+    assert isinstance(entered, calls.Admitted) == bool(is_taken)
+    if not is_taken:
+        assert entered.reason == 'stopping'
+
+
 def test_late_report_does_not_restore_an_upstream_that_left_after_a_restart():
     made = build_gate(messages.UpstreamEnded('i1', 0))
     made.handle(build_report('i1', 7), '', 2000)
--- a/tests/roles/test_seeded_stop.py
+++ b/tests/roles/test_seeded_stop.py
@@ -9,7 +9,7 @@
 from shallotwharf.components.membership import messages as membership
 from shallotwharf.components.tables import messages as tables
 from shallotwharf.components.tables import version
-from shallotwharf.core import locations
+from shallotwharf.core import call_interfaces, locations
 from shallotwharf.roles.node import seeded as node_process
 from shallotwharf.roles.settings import seeded
 from tests import callnodes
@@ -32,7 +32,7 @@
 class StoppingNode:
     """A node process whose calls go to the upstream of another node."""
 
-    async def async_start(self, respond):
+    async def async_start(self, respond, leave_ms=LEAVE_MS, stop_ms=STOP_MS):
         (self.other,), self.raw = await test_calls.async_build(respond)
         host = callnodes.HOST
         self.port = callnodes.find_port()
@@ -50,8 +50,8 @@
                 self.port,
                 (),
                 budget.Limits(),
-                LEAVE_MS,
-                STOP_MS,
+                leave_ms,
+                stop_ms,
             ),
             FrontEnd(),
             header_format.StandardHeaderFormat(),
@@ -181,3 +181,29 @@
     response, _ = await async_read(reader, writer, 0)
     assert read_status(response) == 504
     assert not json.loads(response.partition(b'\r\n\r\n')[2])['not_run']
+
+
+@test_calls.on_loop
+async def test_attempt_of_another_node_that_may_outlast_a_stop_is_refused():
+    # Long enough that the gate is open at the start of the stop.
+    node = await StoppingNode().async_start(async_respond, 1000, 2400)
+    node.process._front_end.registry.announce(
+        call_interfaces.UpstreamDescription(
+            'orders', 'v1', callnodes.HOST, node.raw.port, 4, 0, 'i1'
+        )
+    )
+    stopped = asyncio.ensure_future(node.async_stop())
+    await asyncio.sleep(0)
+    reader, writer = await asyncio.open_connection(
+        callnodes.HOST, node.process._settings.call_port
+    )
+    writer.write(
+        b'POST /cut/2900 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n'
+        b'Shallotwharf-Attempt: n9-1.1\r\n'
+        b'Shallotwharf-Forwarded: 0 orders v1 0\r\n'
+        b'Shallotwharf-Deadline-Ms: 5000\r\n\r\n'
+    )
+    response, _ = await async_read(reader, writer, 0)
+    await stopped
+    assert read_status(response) == 503
+    assert not node.raw.requests
