List the restart that forgets an upstream that left

What callers could see: requests sent to an upstream that left, for the rest of its life, after its node restarted and a report of it arrived late.

Cause: the state of the upstream is in the node's memory only. A fix needs the last announcement of the previous process, which other members hold.

--- a/tests/components/upstream/test_reports.py
+++ b/tests/components/upstream/test_reports.py
@@ -101,6 +101,15 @@
     assert is_open(made) == 'i2'
 
 
+def test_late_report_does_not_restore_an_upstream_that_left_before_a_restart():
+    before = build_gate(build_report('i1', 7), messages.UpstreamEnded('i1', 0))
+    assert not is_open(before)
+    # The node restarts, and a report that was sent before the end arrives.
+    after = build_gate()
+    after.handle(build_report('i1', 6), '', 1500)
+    assert not is_open(after)
+
+
 def test_upstream_that_starts_again_under_its_name_is_used_after_a_while():
     made = build_gate(messages.UpstreamEnded('i1', 0))
     made.handle(build_report('i1', 1, started_at=200), '', 10_000)
