End a process in time although a linked peer is silent

Cause: the reader of each link closes its WebSocket when it is cancelled at the end of the process. The library waits 10 s there for a peer that does not answer the close frame, such as a frozen machine or one behind a cut.

Change: all links close within 100 ms. Expiring an exchange that has ended does nothing.

In review a node process logged 'stopped' 0.59 s after SIGTERM and exited at 10.6 s.

--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -94,6 +94,8 @@
 
     def expire(self) -> None:
         """End the current step, because its time is over."""
+        if not self._open:
+            return
         now = self._services.clock.read()
         if self._step is None:
             # The guard did not reply.
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -37,7 +37,9 @@
 # followed by a long retransmission back-off.
 _PING_SECONDS: typing.Final = 20.0
 _USER_TIMEOUT_MS: typing.Final = 3000
-# A stopping process needs no reply; the wait only allows a clean close.
+# A stopping process needs no reply; the wait only allows a clean close. The
+# library waits 10 s by default, also for tasks that are cancelled at the end of
+# the process, which is longer than a grace period.
 _CLOSE_TIMEOUT_SECONDS: typing.Final = 0.1
 _REOPEN_DELAY_SECONDS: typing.Final = 0.1
 
@@ -108,6 +110,7 @@
                 compression=None,
                 ping_interval=_PING_SECONDS,
                 ping_timeout=_PING_SECONDS,
+                close_timeout=_CLOSE_TIMEOUT_SECONDS,
             )
         except OSError as error:
             raise errors.LinkError(
@@ -221,6 +224,7 @@
                 open_timeout=peer.open_timeout_seconds,
                 ping_interval=_PING_SECONDS,
                 ping_timeout=_PING_SECONDS,
+                close_timeout=_CLOSE_TIMEOUT_SECONDS,
                 proxy=None,
             )
             await opened.send(codec.encode(self._hello))
