Reject callers that stay with a stopping node at once

Change: a node with seeds takes no call after callers have had time to notice the shutdown; the node with listed control processes still goes by deadlines, as it does not listen any more.

--- a/shallotwharf/components/call/shutdown.py
+++ b/shallotwharf/components/call/shutdown.py
@@ -16,10 +16,10 @@
         self._began = began
 
     def admits(self, deadline_at: int, now: int) -> bool:
-        """Return whether a call that arrives now ends before the process.
+        """Return whether to take a call that arrives now.
 
-        Until callers have noticed the shutdown, calls with later deadlines are
-        taken, too: most of the grace period is left for them to run.
+        Until callers have noticed the shutdown, calls with any deadline are
+        taken: most of the grace period is left for them to run.
 
         Args:
             deadline_at: latest time of the response, in clock milliseconds.
@@ -27,4 +27,4 @@
         """
         if self._began is None or now < self._began.notice_until:
             return True
-        return deadline_at <= self._began.ends_at
+        return deadline_at <= self._began.latest_deadline_at
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -78,7 +78,9 @@
         dispatcher = self._runtime.dispatcher
         now = self._runtime.clock.read()
         ends_at = now + int(DRAIN_LIMIT_SECONDS * clock.SECOND_MS)
-        dispatcher.deliver(call_messages.StopBegan(now, ends_at), local_name)
+        dispatcher.deliver(
+            call_messages.StopBegan(now, ends_at, ends_at), local_name
+        )
         dispatcher.deliver(upstream_messages.DrainRequested(), local_name)
         finished = await self._server.async_close(DRAIN_LIMIT_SECONDS)
         logs.write(
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -138,10 +138,10 @@
         """Shut down while callers beside the node are still served.
 
         Callers need some time to notice that the node is not ready. Those who
-        stay, because most other nodes are down, are served as long as their
-        calls can end in time. Until shortly before callers leave, other nodes
-        may still use the upstream: it may keep running, and its slots would be
-        missed.
+        stay, because most other nodes are down, are rejected at once then: the
+        sooner the node is back with its upstream, the more of their calls are
+        served. Until shortly before callers leave, other nodes may still use
+        the upstream: it may keep running, and its slots would be missed.
         """
         self._is_stopping = True
         local_name = self._runtime.name
@@ -155,7 +155,9 @@
             self._settings.leave_ms, self._settings.stop_ms // 2
         )
         dispatcher.deliver(
-            call_messages.StopBegan(leaves_at, ends_at - _RESPONSE_MARGIN_MS),
+            call_messages.StopBegan(
+                leaves_at, leaves_at, ends_at - _RESPONSE_MARGIN_MS
+            ),
             local_name,
         )
         await asyncio.sleep(
