Start the search for free ports at a random port

Two test runs that start together failed in tests/processes/test_path.py: the first apply of a new site printed version 2, or the second of two edits won.

Cause: both probe the same ports in the same order before either has bound one, so that processes of two sites used the same ports and one site's commands reached the other.

Change: each run starts at a random port of the range.

Evidence: two runs of the file at once had 1 and 2 failures before, and none now.

--- a/measurements/site.py
+++ b/measurements/site.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -19,7 +20,12 @@
 # process, or return the same one twice.
 _FIRST_PORT = 20_000
 _LAST_PORT = 32_000
-_candidate_ports = itertools.cycle(range(_FIRST_PORT, _LAST_PORT))
+# Runs that start together probe before either has bound its ports, so each
+# starts at another port.
+_START = random.SystemRandom().randrange(_FIRST_PORT, _LAST_PORT)
+_candidate_ports = itertools.cycle(
+    [*range(_START, _LAST_PORT), *range(_FIRST_PORT, _START)]
+)
 
 
 def find_ports(count):
