Log which process lags behind the newest version

Nothing told apart why a node was late with a version: whether its control process lagged, held the version back, or sent it again. A node now logs source_left, and node_lags after 500 ms without the highest version that it has heard of; a control process logs control_lags behind its peers, and release_waits with the voters that it waits for. Versions that are sent again are counted.

No decision changes.

--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -41,6 +41,13 @@
 # A control process that a node has left is avoided for this time.
 SOURCE_PENALTY_MS: typing.Final = 5000
 
+# A lag is logged after this time. In calm a version reaches each process within
+# about 100 ms.
+LAG_REPORT_MS: typing.Final = 500
+EVENT_CONTROL_LAGS: typing.Final = 'control_lags'
+EVENT_RELEASE_WAITS: typing.Final = 'release_waits'
+EVENT_NODE_LAGS: typing.Final = 'node_lags'
+
 ADMISSIONS_PER_S: typing.Final = 20
 ADMISSION_BURST: typing.Final = 10
 
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -13,6 +13,7 @@
     const,
     fetching,
     floors,
+    lag,
     messages,
     source,
 )
@@ -39,6 +40,8 @@
         '_known_floor',
         '_activation',
         '_renew_at',
+        '_highest',
+        '_lag',
     )
 
     name = 'subscriber'
@@ -74,6 +77,9 @@
         self._known_floor: int | None = None
         self._activation = activation.Activation()
         self._renew_at = 0
+        # Highest version that a control process has stated.
+        self._highest = 0
+        self._lag = lag.Lag(const.EVENT_NODE_LAGS)
 
     @property
     def active(self) -> version.Version:
@@ -153,6 +159,7 @@
         all below the floor at once, without waiting for the time-out. Such a
         process may have lost its disk.
         """
+        self._highest = max(self._highest, message.number)
         least = max(self._known_floor or 0, self.active.number)
         self._source.receive_status(sender, message, least, now)
         if self.active.number or message.number >= least:
@@ -161,7 +168,7 @@
             return []
         self._source.leave(sender, now)
         return [
-            effects.Count('delivery.source_left'),
+            *self._report_source_change(sender),
             *self._subscribe(now),
         ]
 
@@ -193,10 +200,11 @@
         now: int,
     ) -> list[effects.Effect]:
         """Repeat messages that may have been lost."""
-        step = self._query_floor(now)
+        step = [*self._query_floor(now), *self._report_lag(now)]
+        previous = self._source.name
         if self._source.replace_unusable(now):
             self._renew_at = now
-            step.append(effects.Count('delivery.source_left'))
+            step.extend(self._report_source_change(previous))
         if self._source.name and now >= self._renew_at:
             step.extend(self._subscribe(now))
         return [*step, *self._apply_floor(now), self._set_timer(now)]
@@ -236,6 +244,28 @@
         }
         return self._activation.apply(candidate, origin)
 
+    def _report_source_change(self, previous: str) -> list[effects.Effect]:
+        return [
+            effects.Count('delivery.source_left'),
+            effects.Report(
+                'source_left',
+                {
+                    'source': previous,
+                    'next': self._source.name,
+                    'number': self.active.number,
+                    'highest': self._highest,
+                },
+            ),
+        ]
+
+    def _report_lag(self, now: int) -> list[effects.Effect]:
+        return self._lag.update(
+            self.active.number,
+            self._highest,
+            now,
+            {'source': self._source.name},
+        )
+
     def _set_timer(self, now: int) -> effects.Effect:
         wait_ms = const.RELAY_TICK_MS
         if not self.active.number:
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -6,6 +6,7 @@
 
 from shallotwharf.components.delivery import (
     const,
+    lag,
     messages,
     peers,
     subscriptions,
@@ -35,6 +36,8 @@
         '_history',
         '_subscriptions',
         '_reports',
+        '_log_lag',
+        '_release_lag',
     )
 
     name = 'feed'
@@ -80,6 +83,8 @@
             admission or subscriptions.Admission(),
         )
         self._reports = summary.Reports(datacentres)
+        self._log_lag = lag.Lag(const.EVENT_CONTROL_LAGS)
+        self._release_lag = lag.Lag(const.EVENT_RELEASE_WAITS)
 
     def start(self, now: int) -> list[effects.Effect]:
         """Announce this process to the other voters."""
@@ -218,7 +223,18 @@
 
     def _offer(self, now: int) -> list[effects.Effect]:
         released = self._peers.compute_released()
-        return self._subscriptions.offer_all(released, now)
+        return [
+            *self._subscriptions.offer_all(released, now),
+            *self._log_lag.update(
+                self._peers.held, self._peers.find_highest(), now, {}
+            ),
+            *self._release_lag.update(
+                released,
+                self._peers.held,
+                now,
+                {'waits_for': ','.join(self._peers.list_behind())},
+            ),
+        ]
 
     def _broadcast_progress(self) -> list[effects.Effect]:
         return [
--- a/shallotwharf/components/delivery/peers.py
+++ b/shallotwharf/components/delivery/peers.py
@@ -127,6 +127,19 @@
         majority = quorum.compute_majority(len(numbers))
         return min(self.held, numbers[majority - 1])
 
+    def find_highest(self) -> int:
+        """Return the highest committed version known to any voter."""
+        numbers = [peer.number for peer in self._peers.values()]
+        return max(self.held, *numbers, 0)
+
+    def list_behind(self) -> list[str]:
+        """Return the other voters not known to have the version held here."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.number < self.held
+        ]
+
     def reaches_majority(self, now: int) -> bool:
         """Return whether a majority of the voters sent a message recently."""
         responsive = int(self._is_voter)
--- a/shallotwharf/components/delivery/subscriptions.py
+++ b/shallotwharf/components/delivery/subscriptions.py
@@ -97,9 +97,9 @@
         A pending version is sent again after `const.RESEND_MS`.
         """
         subscription = self._relays[relay]
-        if subscription.pending:
-            if now - subscription.sent_at < const.RESEND_MS:
-                return []
+        is_resent = bool(subscription.pending)
+        if is_resent and now - subscription.sent_at < const.RESEND_MS:
+            return []
         target = self._history.find_last(limit)
         if subscription.number >= target:
             return []
@@ -110,10 +110,13 @@
             subscription.digest,
             target,
         )
-        return [
+        step: list[effects.Effect] = [
             effects.Count('delivery.parts_sent', len(parts)),
             *(effects.Send(relay, messages.RelayPart(part)) for part in parts),
         ]
+        if is_resent:
+            step.append(effects.Count('delivery.versions_resent'))
+        return step
 
     def offer_all(self, limit: int, now: int) -> list[effects.Effect]:
         """Send all relays a version they lack; drop expired subscriptions."""
--- a/tests/components/delivery/test_direct.py
+++ b/tests/components/delivery/test_direct.py
@@ -131,6 +131,31 @@
     world.wait_for(2, limit_ms=5500)
 
 
+def read_counts(world, name):
+    return {
+        counter.removeprefix('delivery.'): count
+        for counter, count in world.cluster.processes[name]
+        .counters.read_all()
+        .items()
+    }
+
+
+@pytest.mark.parametrize(
+    ('holders', 'process', 'counter'),
+    [
+        (CONTROL[1:], 'c1', 'control_lags'),
+        (CONTROL[:2], 'c1', 'release_waits'),
+    ],
+)
+def test_lag_of_a_control_process_is_counted(holders, process, counter):
+    world = World()
+    world.commit(1)
+    world.cluster.run_for(1000)
+    world.commit(2, *holders)
+    world.cluster.run_for(2000)
+    assert read_counts(world, process)[counter] == 1
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_restarted_node_applies_nothing_older_than_before(seed):
     world = World(seed)
