Watch other control processes, and leave a source that lags behind them

Callers got 404 for routes of a version that had been acknowledged 2.7 s before. A node heard of versions from the one control process that feeds it, and compared what that process states with its own version only. A process that is cut off from the others keeps answering; the node left it after 3.2 to 3.5 s, and never if it still heard of other voters.

A node now watches further control processes, which state their highest version after each new one and when asked, once a second. Source and watched processes intersect each majority of the voters, so at least one knows each version that may be handed out. A source that has not delivered such a version within 300 ms is left; the time doubles while none arrives, and parts that arrive restart it, so that slow transfers are not repeated.

--- a/shallotwharf/components/delivery/const.py
+++ b/shallotwharf/components/delivery/const.py
@@ -38,6 +38,13 @@
 DIRECT_RENEW_MS: typing.Final = 500
 # Renewal interval until the node has a version.
 DIRECT_SEARCH_MS: typing.Final = 200
+# Interval at which a node asks the control processes that it only watches.
+WATCH_RENEW_MS: typing.Final = 1000
+# A source that has not delivered a version this long after another control
+# process stated it is left. Control processes hand out a version within two
+# round trips between regions of each other, below 100 ms.
+LAG_TIMEOUT_MS: typing.Final = 300
+MAX_LAG_TIMEOUT_MS: typing.Final = 4800
 # A control process that a node has left is avoided for this time.
 SOURCE_PENALTY_MS: typing.Final = 5000
 
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -3,6 +3,7 @@
 In a small fleet control feeds each node directly, so that the loss of a relay
 delays no other node. A version is handed out only once a majority of the
 voters know it as committed, so the highest answer of any majority is a floor.
+One control process feeds a node; others tell it when that one lags behind.
 """
 
 import random as random_module
@@ -40,7 +41,8 @@
         '_known_floor',
         '_activation',
         '_renew_at',
-        '_highest',
+        '_watched',
+        '_watch_at',
         '_lag',
     )
 
@@ -77,8 +79,9 @@
         self._known_floor: int | None = None
         self._activation = activation.Activation()
         self._renew_at = 0
-        # Highest version that a control process has stated.
-        self._highest = 0
+        # The processes that were asked for their status.
+        self._watched: tuple[str, ...] = ()
+        self._watch_at = 0
         self._lag = lag.Lag(const.EVENT_NODE_LAGS)
 
     @property
@@ -123,7 +126,7 @@
         step = self._query_floor(now)
         if self._source.name != before:
             step.extend(self._subscribe(now))
-        return step
+        return [*step, *self._watch(now)]
 
     def receive_part(
         self,
@@ -133,8 +136,9 @@
     ) -> list[effects.Effect]:
         """Add a part; apply a version once complete, if it may be applied."""
         step: list[effects.Effect] = []
-        if sender != self._source.name:
+        if sender not in {self._source.name, *self._watched}:
             step.append(effects.Send(sender, messages.Unsubscribe()))
+        self._source.record_part(now)
         try:
             built = self._fetcher.add_part(message.part, now)
         except errors.ProtocolError as error:
@@ -159,7 +163,6 @@
         all below the floor at once, without waiting for the time-out. Such a
         process may have lost its disk.
         """
-        self._highest = max(self._highest, message.number)
         least = max(self._known_floor or 0, self.active.number)
         self._source.receive_status(sender, message, least, now)
         if self.active.number or message.number >= least:
@@ -167,10 +170,7 @@
         if sender != self._source.name:
             return []
         self._source.leave(sender, now)
-        return [
-            *self._report_source_change(sender),
-            *self._subscribe(now),
-        ]
+        return self._change_source(sender, source.LEFT_UNUSABLE, now)
 
     def retry_later(
         self,
@@ -202,11 +202,14 @@
         """Repeat messages that may have been lost."""
         step = [*self._query_floor(now), *self._report_lag(now)]
         previous = self._source.name
-        if self._source.replace_unusable(now):
-            self._renew_at = now
-            step.extend(self._report_source_change(previous))
-        if self._source.name and now >= self._renew_at:
+        held = self._fetcher.newest.number
+        reason = self._source.replace_unusable(held, now)
+        if reason:
+            step.extend(self._change_source(previous, reason, now))
+        if now >= self._renew_at:
             step.extend(self._subscribe(now))
+        if now >= self._watch_at:
+            step.extend(self._watch(now))
         return [*step, *self._apply_floor(now), self._set_timer(now)]
 
     def _query_floor(self, now: int) -> list[effects.Effect]:
@@ -244,24 +247,46 @@
         }
         return self._activation.apply(candidate, origin)
 
-    def _report_source_change(self, previous: str) -> list[effects.Effect]:
+    def _change_source(
+        self,
+        previous: str,
+        reason: str,
+        now: int,
+    ) -> list[effects.Effect]:
+        """Subscribe to the process that was chosen instead of another one."""
         return [
             effects.Count('delivery.source_left'),
             effects.Report(
                 'source_left',
                 {
                     'source': previous,
+                    'reason': reason,
                     'next': self._source.name,
                     'number': self.active.number,
-                    'highest': self._highest,
+                    'highest': self._source.highest,
                 },
             ),
+            *self._subscribe(now),
+            *self._watch(now),
+        ]
+
+    def _watch(self, now: int) -> list[effects.Effect]:
+        """Ask the watched processes for their status, and no others."""
+        self._watch_at = now + const.WATCH_RENEW_MS
+        kept = {self._source.name, *self._source.watched}
+        dropped = [name for name in self._watched if name not in kept]
+        self._watched = self._source.watched
+        number, digest = self._fetcher.read_base()
+        request = messages.Subscribe(number, digest, status_only=True)
+        return [
+            *(effects.Send(name, messages.Unsubscribe()) for name in dropped),
+            *(effects.Send(name, request) for name in self._watched),
         ]
 
     def _report_lag(self, now: int) -> list[effects.Effect]:
         return self._lag.update(
             self.active.number,
-            self._highest,
+            self._source.highest,
             now,
             {'source': self._source.name},
         )
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -36,6 +36,7 @@
         '_history',
         '_subscriptions',
         '_reports',
+        '_stated',
         '_log_lag',
         '_release_lag',
     )
@@ -83,6 +84,8 @@
             admission or subscriptions.Admission(),
         )
         self._reports = summary.Reports(datacentres)
+        # Highest version that was stated to the watchers.
+        self._stated = 0
         self._log_lag = lag.Lag(const.EVENT_CONTROL_LAGS)
         self._release_lag = lag.Lag(const.EVENT_RELEASE_WAITS)
 
@@ -225,6 +228,7 @@
         released = self._peers.compute_released()
         return [
             *self._subscriptions.offer_all(released, now),
+            *self._notify_watchers(released, now),
             *self._log_lag.update(
                 self._peers.held, self._peers.find_highest(), now, {}
             ),
@@ -236,6 +240,19 @@
             ),
         ]
 
+    def _notify_watchers(
+        self,
+        released: int,
+        now: int,
+    ) -> list[effects.Effect]:
+        if released <= self._stated:
+            return []
+        self._stated = released
+        return [
+            effects.Send(watcher, self._make_status(watcher, now))
+            for watcher in self._subscriptions.list_watchers()
+        ]
+
     def _broadcast_progress(self) -> list[effects.Effect]:
         return [
             effects.Send(peer, self._peers.make_progress(peer))
--- a/shallotwharf/components/delivery/messages.py
+++ b/shallotwharf/components/delivery/messages.py
@@ -99,13 +99,26 @@
 
 @messages.register('delivery.subscribe')
 class Subscribe(messages.Message):
-    """Start or renew a subscription and acknowledge the version held."""
+    """Start or renew a subscription and acknowledge the version held.
 
-    __slots__ = ('number', 'digest')
+    Attributes:
+        number: number of the version held.
+        digest: digest of that version.
+        status_only: whether the sender wants the status of the process after
+            each version, and no version.
+    """
 
-    def __init__(self, number: int, digest: bytes) -> None:
+    __slots__ = ('number', 'digest', 'status_only')
+
+    def __init__(
+        self,
+        number: int,
+        digest: bytes,
+        status_only: bool = False,
+    ) -> None:
         self.number = number
         self.digest = digest
+        self.status_only = status_only
 
 
 @messages.register('delivery.unsubscribe')
--- a/shallotwharf/components/delivery/subscriptions.py
+++ b/shallotwharf/components/delivery/subscriptions.py
@@ -7,11 +7,19 @@
 
 
 class _Subscription:
-    __slots__ = ('number', 'digest', 'pending', 'sent_at', 'renewed_at')
+    __slots__ = (
+        'number',
+        'digest',
+        'status_only',
+        'pending',
+        'sent_at',
+        'renewed_at',
+    )
 
     def __init__(self, now: int) -> None:
         self.number = 0
         self.digest = b''
+        self.status_only = False
         self.pending = 0
         self.sent_at = 0
         self.renewed_at = now
@@ -64,11 +72,15 @@
     ) -> int:
         """Record which version a relay holds, and admit it if it is new.
 
+        One that wants the status only is always admitted, and is not limited
+        when it subscribes for versions later: it has a connection and a
+        version, so that it needs a difference only.
+
         Returns 0, or the time to wait in milliseconds if it is not admitted.
         """
         subscription = self._relays.get(relay)
         if subscription is None:
-            wait = self._admission.admit(now)
+            wait = 0 if request.status_only else self._admission.admit(now)
             if wait:
                 return wait
             subscription = _Subscription(now)
@@ -76,8 +88,10 @@
         # A lower number than before means that the relay could not apply the
         # pending difference.
         refused = request.number < subscription.number
-        if refused or request.number >= subscription.pending:
+        changed = request.status_only != subscription.status_only
+        if refused or changed or request.number >= subscription.pending:
             subscription.pending = 0
+        subscription.status_only = request.status_only
         subscription.renewed_at = now
         subscription.number = request.number
         subscription.digest = request.digest
@@ -91,12 +105,22 @@
         """Return whether a relay is subscribed."""
         return relay in self._relays
 
+    def list_watchers(self) -> list[str]:
+        """Return the subscribers that want the status only."""
+        return [
+            relay
+            for relay, subscription in self._relays.items()
+            if subscription.status_only
+        ]
+
     def offer(self, relay: str, limit: int, now: int) -> list[effects.Effect]:
         """Send a relay the newest version up to `limit` unless one is pending.
 
         A pending version is sent again after `const.RESEND_MS`.
         """
         subscription = self._relays[relay]
+        if subscription.status_only:
+            return []
         is_resent = bool(subscription.pending)
         if is_resent and now - subscription.sent_at < const.RESEND_MS:
             return []
--- a/tests/components/delivery/test_direct.py
+++ b/tests/components/delivery/test_direct.py
@@ -4,6 +4,7 @@
 replicated log would publish are delivered by the test.
 """
 
+import itertools
 import random
 
 import pytest
@@ -162,6 +163,33 @@
         world.wait_for(2, limit_ms=APPLY_LIMIT_MS)
 
 
+def test_any_minority_may_be_unusable():
+    """Guards against watching too few processes, or the wrong ones."""
+
+    def kill(world, name):
+        world.cluster.kill(name)
+
+    def cut(world, name):
+        world.cluster.cut([name], [other for other in CONTROL if other != name])
+
+    def lag(world, name):
+        """Do nothing: each faulty process lacks the version."""
+
+    minorities = itertools.combinations(CONTROL, 2)
+    faults = itertools.product((kill, cut, lag), repeat=2)
+    cases = itertools.product(minorities, faults)
+    for seed, (minority, (first, second)) in enumerate(cases):
+        world = World(seed)
+        world.start_node()
+        world.commit(1)
+        world.wait_for(1)
+        first(world, minority[0])
+        second(world, minority[1])
+        world.cluster.run_for(100)
+        world.commit(2, *sorted(set(CONTROL) - set(minority)))
+        world.wait_for(2)
+
+
 def read_counts(world, name):
     return {
         counter.removeprefix('delivery.'): count
