Hand out a version once any voter found that a majority knows it

Each control process found by itself that a majority of the voters knows a version. Where messages between two voters are lost, for example on a link that has gone silent, one of them held a version back although another one had handed it out; nodes that know no other process then wait for that link.

Voters now state the highest version that they found to be known by a majority. That remains true, so that others may rely on it. The new test, two of five voters down and a link between two others cut, fails without it: the node leaves its source for another one.

--- a/shallotwharf/components/delivery/messages.py
+++ b/shallotwharf/components/delivery/messages.py
@@ -80,9 +80,17 @@
         incarnation: random number of the sender's process.
         receiver_incarnation: last incarnation of the receiver that the sender
             received a message from; 0 if none.
+        released: highest version that a majority of the voters know, as far
+            as the sender knows.
     """
 
-    __slots__ = ('number', 'leading', 'incarnation', 'receiver_incarnation')
+    __slots__ = (
+        'number',
+        'leading',
+        'incarnation',
+        'receiver_incarnation',
+        'released',
+    )
 
     def __init__(
         self,
@@ -90,11 +98,13 @@
         leading: bool,
         incarnation: int,
         receiver_incarnation: int,
+        released: int = 0,
     ) -> None:
         self.number = number
         self.leading = leading
         self.incarnation = incarnation
         self.receiver_incarnation = receiver_incarnation
+        self.released = released
 
 
 @messages.register('delivery.subscribe')
--- a/shallotwharf/components/delivery/peers.py
+++ b/shallotwharf/components/delivery/peers.py
@@ -20,7 +20,9 @@
 
     A version is handed out only when a majority of the voters know it as
     committed. Any majority that answers a floor query then includes a process
-    that states at least this version.
+    that states at least this version. Once a process has found that a majority
+    knows a version, the others need not find it themselves: a lost message
+    between two of them delays no version.
 
     A restarted process knows only the versions it has read so far, which may
     be fewer than before the restart. It states no floor until it has caught
@@ -42,6 +44,7 @@
         '_local_name',
         '_is_voter',
         '_catch_up_target',
+        '_stated_release',
         '_peers',
     )
 
@@ -58,6 +61,7 @@
         self._is_voter = True
         self.incarnation = 1 + random.getrandbits(const.INCARNATION_BITS)
         self._catch_up_target: int | None = None
+        self._stated_release = 0
         self._peers = {name: _Peer(0) for name in voters if name != local_name}
 
     def change_voters(self, voters: abc.Iterable[str]) -> None:
@@ -95,6 +99,7 @@
         # message of an earlier incarnation is still valid.
         peer.number = max(peer.number, progress.number)
         peer.last_received_at = now
+        self._stated_release = max(self._stated_release, progress.released)
         unknown = peer.incarnation != progress.incarnation
         peer.incarnation = progress.incarnation
         if (
@@ -112,6 +117,7 @@
             self.leading,
             self.incarnation,
             self._peers[peer].incarnation,
+            self.compute_released(),
         )
 
     def list_peers(self) -> list[str]:
@@ -125,7 +131,8 @@
             numbers.append(self.held)
         numbers.sort(reverse=True)
         majority = quorum.compute_majority(len(numbers))
-        return min(self.held, numbers[majority - 1])
+        known = max(numbers[majority - 1], self._stated_release)
+        return min(self.held, known)
 
     def find_highest(self) -> int:
         """Return the highest committed version known to any voter."""
--- a/tests/components/delivery/test_direct.py
+++ b/tests/components/delivery/test_direct.py
@@ -190,6 +190,20 @@
         world.wait_for(2)
 
 
+def test_majority_that_another_voter_found_counts():
+    """Guards against waiting for a voter whose messages are lost."""
+    world = World()
+    world.cluster.kill('c4')
+    world.cluster.kill('c5')
+    world.cluster.run_for(1000)
+    world.cluster.cut(['c2'], ['c3'])
+    world.commit(1, 'c1', 'c2', 'c3')
+    world.cluster.run_for(1000)
+    world.start_node(datacentre='d2')
+    world.wait_for(1, limit_ms=1000)
+    assert 'source_left' not in read_counts(world, 'n')
+
+
 def read_counts(world, name):
     return {
         counter.removeprefix('delivery.'): count
