--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 Failures of the tests that KNOWN-RED.txt lists do not fail the run.
 """
 
+import gc
 import pathlib
 
 import hypothesis
@@ -21,6 +22,17 @@
 hypothesis.settings.load_profile('repeatable')
 
 
+@pytest.fixture(scope='module', autouse=True)
+def collect_garbage():
+    """Run finalizers of a module's streams before the next module's tests.
+
+    CPython 3.11 fails with 'AST constructor recursion depth mismatch' if they
+    run while hypothesis parses the source of a test.
+    """
+    yield
+    gc.collect()
+
+
 def read_known_red():
     return [
         line.removeprefix(_ENTRY)
