Read and log what an upstream states about itself

Nothing showed that an upstream names a limit or that it leaves, nor how many requests its gate lets through. Results now carry the notice of a response, the gate logs upstream_notice when it changes, and counts upstream.admitted. Unreadable limits count as none.

No decision changes.

--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -18,8 +18,10 @@
 REASON_DUPLICATE: typing.Final = 'duplicate_attempt'
 
 EVENT_CHANGED: typing.Final = 'upstream_changed'
+EVENT_NOTICE: typing.Final = 'upstream_notice'
 
 COUNTER_REFUSED: typing.Final = 'upstream.refused.'
+COUNTER_ADMITTED: typing.Final = 'upstream.admitted'
 COUNTER_QUEUED: typing.Final = 'upstream.queued'
 COUNTER_STALE: typing.Final = 'upstream.reports_stale'
 COUNTER_CRASHES: typing.Final = 'upstream.crashes'
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -7,6 +7,7 @@
 from shallotwharf.components.upstream import (
     announcer,
     const,
+    notices,
     offer,
     queue,
     reports,
@@ -29,6 +30,7 @@
         '_tracker',
         '_queue',
         '_timer_at',
+        '_notices',
     )
 
     name = 'upstream'
@@ -71,6 +73,7 @@
         self._tracker = tracker.RequestTracker(node.name)
         self._queue = queue.AdmissionQueue(limits.queue_limit)
         self._timer_at: int | None = None
+        self._notices = notices.Notices()
 
     def start(self, now: int) -> list[effects.Effect]:
         """Do nothing until the upstream announces itself."""
@@ -206,6 +209,9 @@
             digest = self._tracker.running.compute_digest(attempt)
             self._poison.clear(digest)
         self.outbox.extend(self._tracker.end(attempt, result.outcome, now))
+        self.outbox.extend(
+            self._notices.record(result.notice, self.count_running())
+        )
         if self._queue:
             self._process_queue(now)
         self._announce(now)
@@ -253,6 +259,7 @@
         now: int,
     ) -> calls.Admission:
         self._tracker.begin(step.attempt, request, now)
+        self.outbox.append(effects.Count(const.COUNTER_ADMITTED))
         description = typing.cast(
             call_interfaces.UpstreamDescription,
             self._offer.description,
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -101,6 +101,26 @@
         return digest.digest()
 
 
+class UpstreamNotice(records.Record):
+    """What an upstream states about itself in a response.
+
+    Attributes:
+        rate_limit: requests a second that it takes from all nodes together;
+            None if it names no limit.
+        is_leaving: whether it is about to end and wants no further requests.
+    """
+
+    __slots__ = ('rate_limit', 'is_leaving')
+
+    def __init__(
+        self,
+        rate_limit: float | None = None,
+        is_leaving: bool = False,
+    ) -> None:
+        self.rate_limit = rate_limit
+        self.is_leaving = is_leaving
+
+
 class Result(records.Record):
     """How an attempt ended.
 
@@ -110,9 +130,11 @@
         status: HTTP status of a complete response, otherwise 0.
         spare: slots that the gate had free at the end; -1 if not reported.
         size: length of the body of a complete response in bytes.
+        notice: what the upstream beside this node stated in its response;
+            None without a response, or if it cannot state anything.
     """
 
-    __slots__ = ('outcome', 'reason', 'status', 'spare', 'size')
+    __slots__ = ('outcome', 'reason', 'status', 'spare', 'size', 'notice')
 
     def __init__(
         self,
@@ -121,12 +143,14 @@
         status: int = 0,
         spare: int = -1,
         size: int = 0,
+        notice: UpstreamNotice | None = None,
     ) -> None:
         self.outcome = outcome
         self.reason = reason
         self.status = status
         self.spare = spare
         self.size = size
+        self.notice = notice
 
     @property
     def reached(self) -> bool:
--- a/shallotwharf/core/numbers.py
+++ b/shallotwharf/core/numbers.py
@@ -16,3 +16,16 @@
     if not is_number or len(text) > _MAX_DIGITS:
         return None
     return int(text)
+
+
+def parse_decimal(text: str) -> float | None:
+    """Return a non-negative number of decimal digits with an optional point.
+
+    None if the text is anything else or has more than 15 digits before the
+    point; digits beyond the 15th after it are ignored.
+    """
+    whole, _, fraction = text.partition('.')
+    is_fraction = not fraction or (fraction.isascii() and fraction.isdecimal())
+    if parse_count(whole) is None or not is_fraction:
+        return None
+    return float(f'{whole}.{fraction[:_MAX_DIGITS]}')
--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -21,6 +21,12 @@
 # Set by an upstream that did not run the request.
 _NOT_RUN: typing.Final = 'Not-Executed'
 _ENCODING: typing.Final = 'Content-Encoding'
+# Requests a second that an upstream takes from all machines together.
+_LIMIT: typing.Final = 'Server-Limit'
+# Set by an upstream that is about to end.
+_LEAVING: typing.Final = 'Server-Leaving'
+_LEAVING_SET: typing.Final = '1'
+_SILENT: typing.Final = calls.UpstreamNotice()
 
 _MISDIRECTED: typing.Final = 421
 _BAD_GATEWAY: typing.Final = 502
@@ -104,14 +110,9 @@
         and a status that guarantees that the request did not run, unless the
         upstream confirmed it.
         """
-        if status in _NOT_RUN_STATUSES:
-            return _read_refusal(status, response_headers)
-        if _ENCODING in response_headers:
-            return calls.Result(calls.OUTCOME_CROSSED, _REASON_ENCODED)
-        signed = _SIGNATURE in response_headers and _ATTEMPT in response_headers
-        if _OK <= status < _REDIRECT and not signed:
-            return calls.Result(calls.OUTCOME_CROSSED, _REASON_UNSIGNED)
-        return calls.Result(calls.OUTCOME_ANSWERED, '', status)
+        ended = _read_outcome(status, response_headers)
+        ended.notice = _read_notice(response_headers)
+        return ended
 
     def build_refusal(
         self,
@@ -140,6 +141,33 @@
         )
 
 
+def _read_outcome(
+    status: int,
+    response_headers: httputil.HTTPHeaders,
+) -> calls.Result:
+    if status in _NOT_RUN_STATUSES:
+        return _read_refusal(status, response_headers)
+    if _ENCODING in response_headers:
+        return calls.Result(calls.OUTCOME_CROSSED, _REASON_ENCODED)
+    signed = _SIGNATURE in response_headers and _ATTEMPT in response_headers
+    if _OK <= status < _REDIRECT and not signed:
+        return calls.Result(calls.OUTCOME_CROSSED, _REASON_UNSIGNED)
+    return calls.Result(calls.OUTCOME_ANSWERED, '', status)
+
+
+def _read_notice(
+    response_headers: httputil.HTTPHeaders,
+) -> calls.UpstreamNotice:
+    limit = response_headers.get(_LIMIT)
+    leaving = response_headers.get(_LEAVING)
+    if limit is None and leaving is None:
+        return _SILENT
+    return calls.UpstreamNotice(
+        None if limit is None else numbers.parse_decimal(limit),
+        leaving == _LEAVING_SET,
+    )
+
+
 def _read_refusal(
     status: int,
     response_headers: httputil.HTTPHeaders,
--- a/tests/platform/test_header_format.py
+++ b/tests/platform/test_header_format.py
@@ -45,6 +45,27 @@
     assert ended.outcome == outcome
 
 
+@pytest.mark.parametrize(
+    ('header_fields', 'limit', 'leaving'),
+    [
+        ({}, None, False),
+        ({'Server-Limit': '29.25', 'Server-Leaving': '1'}, 29.25, True),
+        ({'Server-Limit': '54.545454545454545454'}, 54.545454545454545, False),
+        ({'Server-Limit': '0', 'Server-Leaving': '0'}, 0, False),
+        ({'Server-Limit': '-1'}, None, False),
+        ({'Server-Limit': 'nan'}, None, False),
+        ({'Server-Limit': '1e3'}, None, False),
+        ({'Server-Limit': '9' * 400}, None, False),
+    ],
+)
+def test_only_a_readable_limit_is_taken(header_fields, limit, leaving):
+    for status in (200, 500, 503):
+        ended = HEADER_FORMAT.read_result(
+            status, httputil.HTTPHeaders(header_fields)
+        )
+        assert ended.notice == calls.UpstreamNotice(limit, leaving)
+
+
 @pytest.mark.parametrize(
     ('sent', 'echoed', 'match'),
     [
