Keep the limit on requests a second that an upstream names

Upstreams that named a limit got up to 2.7 times as many requests as they took: nobody read the header. Every request to an upstream passes the gate beside it, so the gate keeps the limit, for all nodes together, as a token bucket. Until the first response a gate runs two requests at a time, since a restarted one does not know the limit that was named before.

--- a/shallotwharf/adapters/header_format.py
+++ b/shallotwharf/adapters/header_format.py
@@ -45,6 +45,8 @@
 
     # Whether the close of the connection may delimit a response body.
     allows_eof_body: typing.ClassVar[bool]
+    # Whether upstreams may state notices in their responses.
+    has_notices: typing.ClassVar[bool]
 
     @abc.abstractmethod
     def read_request(
@@ -105,6 +107,7 @@
     __slots__ = ()
 
     allows_eof_body = False
+    has_notices = False
 
     def read_request(
         self,
--- a/shallotwharf/components/upstream/const.py
+++ b/shallotwharf/components/upstream/const.py
@@ -4,6 +4,8 @@
 
 REASON_SLOTS_FULL: typing.Final = 'slots_full'
 REASON_QUEUE_FULL: typing.Final = 'queue_full'
+# The upstream takes no more requests a second.
+REASON_LIMITED: typing.Final = 'rate_limited'
 REASON_DEADLINE: typing.Final = 'deadline_too_short'
 REASON_DRAINING: typing.Final = 'draining'
 # The node shuts down before the deadline of the attempt.
@@ -36,6 +38,16 @@
 # Shortest time between two announcements of spare slots.
 DEFAULT_ANNOUNCE_INTERVAL_MS: typing.Final = 200
 
+# Tokens of a rate limit that accumulate while there are fewer requests, so that
+# the limit is used although requests arrive unevenly.
+RATE_BURST_MS: typing.Final = 500
+# A lower rate limit is raised to this one: a request every 4 s shows whether
+# the limit has ended.
+MIN_RATE_PER_SECOND: typing.Final = 0.25
+# Requests that run at once until the first response shows whether the upstream
+# names a limit: a restarted node does not know the limit that was named before.
+UNPROVEN_SLOTS: typing.Final = 2
+
 # Consecutive failures after which the upstream counts as unhealthy.
 FAILURE_LIMIT: typing.Final = 10
 # An unhealthy upstream gets one trial request after this delay, which doubles
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -68,7 +68,7 @@
             limits.announce_interval_ms,
             generation,
         )
-        self._offer = offer.Offer()
+        self._offer = offer.Offer(limits.has_notices)
         self._reports = reports.Reports()
         self._tracker = tracker.RequestTracker(node.name)
         self._queue = queue.AdmissionQueue(limits.queue_limit)
@@ -208,10 +208,18 @@
         if answered:
             digest = self._tracker.running.compute_digest(attempt)
             self._poison.clear(digest)
-        self.outbox.extend(self._tracker.end(attempt, result.outcome, now))
-        self.outbox.extend(
-            self._notices.record(result.notice, self.count_running())
+        is_current = (
+            self._tracker.running.read_start(attempt) == self._offer.starts
         )
+        self.outbox.extend(self._tracker.end(attempt, result.outcome, now))
+        notice = result.notice
+        if notice is not None and is_current:
+            self.outbox.extend(
+                self._notices.record(
+                    notice, self.count_running(), self._offer.admitted
+                ),
+            )
+            self._offer.apply_notice(notice, now)
         if self._queue:
             self._process_queue(now)
         self._announce(now)
@@ -220,8 +228,10 @@
         """Return the number of free slots; 0 if the upstream is unhealthy."""
         if not self._tracker.health.healthy:
             return 0
-        taken = len(self._tracker.running) + len(self._queue)
-        return max(self._offer.count_slots(now) - taken, 0)
+        queued = len(self._queue)
+        slots = self._offer.count_slots(now) - self.count_running()
+        spare = min(slots, self._offer.rate.count_tokens(now))
+        return max(spare - queued, 0)
 
     def count_running(self) -> int:
         """Return the number of running requests."""
@@ -258,7 +268,8 @@
         request: calls.Request,
         now: int,
     ) -> calls.Admission:
-        self._tracker.begin(step.attempt, request, now)
+        self._tracker.begin(step.attempt, request, self._offer.starts, now)
+        self._offer.record_admission(now)
         self.outbox.append(effects.Count(const.COUNTER_ADMITTED))
         description = typing.cast(
             call_interfaces.UpstreamDescription,
@@ -274,11 +285,15 @@
         request: calls.Request,
         now: int,
     ) -> calls.Admission:
-        slots = max(self._offer.count_slots(now), 1)
-        period_ms = self._tracker.running.mean_ms / slots
+        period_ms = self._offer.estimate_period(
+            self._tracker.running.mean_ms, now
+        )
         wait_ms = self._queue.estimate_wait(step.rank, period_ms)
         if wait_ms > self._limits.queue_wait_ms:
-            return self._refuse(const.REASON_QUEUE_FULL)
+            has_tokens = self._offer.rate.count_tokens(now)
+            return self._refuse(
+                const.REASON_QUEUE_FULL if has_tokens else const.REASON_LIMITED
+            )
         limits = (
             (int(step.deadline_at - self._tracker.running.shortest_ms), True),
             (step.start_by, True),
@@ -329,9 +344,9 @@
         if not self._queue:
             return
         due = self._queue.find_next_expiry()
-        growth = self._offer.find_next_growth(now)
-        if growth is not None:
-            due = min(due, growth)
+        room_at = self._offer.find_next_room(now)
+        if room_at is not None:
+            due = min(due, room_at)
         if self._timer_at is None or due < self._timer_at:
             self._timer_at = due
             self.outbox.append(effects.SetTimer(const.TIMER_QUEUE, due))
--- a/shallotwharf/components/upstream/notices.py
+++ b/shallotwharf/components/upstream/notices.py
@@ -14,16 +14,18 @@
 
     def record(
         self,
-        notice: calls.UpstreamNotice | None,
+        notice: calls.UpstreamNotice,
         running: int,
+        admitted: int,
     ) -> list[effects.Effect]:
         """Store the notice of a response; log it if it is a new one.
 
         Args:
-            notice: the notice; None if there was no response.
+            notice: the notice.
             running: number of running requests.
+            admitted: number of requests admitted so far.
         """
-        if notice is None or notice == self._latest:
+        if notice == self._latest:
             return []
         self._latest = notice
         return [
@@ -33,6 +35,7 @@
                     'limit': notice.rate_limit,
                     'leaving': notice.is_leaving,
                     'running': running,
+                    'admitted': admitted,
                 },
                 is_call=True,
             ),
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -1,7 +1,7 @@
-"""Number of slots that a gate offers in each state of its upstream."""
+"""What a gate offers in each state of its upstream: slots and requests."""
 
 from shallotwharf.components.membership import messages as membership
-from shallotwharf.components.upstream import const
+from shallotwharf.components.upstream import const, rate_limit
 from shallotwharf.core import call_interfaces, calls
 
 
@@ -11,13 +11,36 @@
     Attributes:
         description: description of the upstream; None if there is none.
         state: one of the `UPSTREAM_` constants of the membership.
+        starts: number of starts of the upstream seen so far.
+        rate: limit that the upstream names on the requests a second.
+        admitted: number of requests admitted so far.
     """
 
-    __slots__ = ('description', 'state', '_warmup_started_at', '_ends_at')
+    __slots__ = (
+        'description',
+        'state',
+        'starts',
+        'rate',
+        'admitted',
+        '_has_notices',
+        '_is_proven',
+        '_warmup_started_at',
+        '_ends_at',
+    )
+
+    def __init__(self, has_notices: bool = False) -> None:
+        """Create the offer of a gate whose upstream has not started.
 
-    def __init__(self) -> None:
+        Args:
+            has_notices: whether responses of the upstream carry notices.
+        """
         self.description: call_interfaces.UpstreamDescription | None = None
         self.state = membership.UPSTREAM_GONE
+        self.starts = 0
+        self.rate = rate_limit.RateLimit()
+        self.admitted = 0
+        self._has_notices = has_notices
+        self._is_proven = True
         self._warmup_started_at = 0
         # End of the shutdown of the node, in clock milliseconds.
         self._ends_at: int | None = None
@@ -33,8 +56,21 @@
         if self._ends_at is not None:
             self.state = membership.UPSTREAM_DRAINING
         self._warmup_started_at = now
+        self.starts += 1
+        self.rate = rate_limit.RateLimit()
+        self._is_proven = not self._has_notices
         return True
 
+    def record_admission(self, now: int) -> None:
+        """Count a request that is sent to the upstream."""
+        self.admitted += 1
+        self.rate.take(now)
+
+    def apply_notice(self, notice: calls.UpstreamNotice, now: int) -> None:
+        """Apply what the upstream stated in a response."""
+        self._is_proven = True
+        self.rate.change(notice.rate_limit, now)
+
     def drain(self) -> bool:
         """Stop offering slots; return False if nothing changed."""
         if self.description is None:
@@ -55,8 +91,20 @@
         self._ends_at = ends_at
 
     def has_room(self, running: int, now: int) -> bool:
-        """Return whether a slot is free beside `running` requests."""
-        return running < self.count_slots(now)
+        """Return whether a request may be sent beside `running` others."""
+        return running < self.count_slots(now) and bool(
+            self.rate.count_tokens(now)
+        )
+
+    def estimate_period(self, mean_ms: float, now: int) -> float:
+        """Return the mean time between two admissions under full load.
+
+        Args:
+            mean_ms: mean run time of a request.
+            now: current time in milliseconds.
+        """
+        slots = max(self.count_slots(now), 1)
+        return max(mean_ms / slots, self.rate.compute_period())
 
     def count_slots(self, now: int) -> int:
         """Return the offered slots, which increase linearly while warming.
@@ -69,6 +117,8 @@
         ):
             return 0
         slots = self.description.slots
+        if not self._is_proven:
+            slots = min(slots, const.UNPROVEN_SLOTS)
         if self.state != membership.UPSTREAM_WARMING:
             return slots
         warm_ms = now - self._warmup_started_at
@@ -77,21 +127,19 @@
             return slots
         return max(1, slots * warm_ms // self.description.warmup_ms)
 
-    def find_next_growth(self, now: int) -> int | None:
-        """Return the time of the next additional slot; None if not warming."""
-        if (
-            self.description is None
-            or self.state != membership.UPSTREAM_WARMING
-        ):
-            return None
-        warmup_ms = self.description.warmup_ms
-        step_ms = -(-warmup_ms // self.description.slots)
-        return now + max(
-            1, min(step_ms, self._warmup_started_at + warmup_ms - now)
-        )
+    def find_next_room(self, now: int) -> int | None:
+        """Return when another request may be sent although none ends.
+
+        This is the time of the next additional slot while warming, or of the
+        next request within the rate limit; None if there is no such time.
+        """
+        times = (self._find_next_growth(now), self.rate.find_next(now))
+        return min((at for at in times if at is not None), default=None)
 
     def find_shortage_reason(self, queue_limit: int, now: int) -> str:
         """Return the reason to refuse an attempt for lack of room."""
+        if not self.rate.count_tokens(now):
+            return const.REASON_LIMITED
         # Updates the state if the warm-up has ended.
         self.count_slots(now)
         if self.state == membership.UPSTREAM_WARMING:
@@ -114,3 +162,15 @@
         if self._ends_at is not None and step.deadline_at > self._ends_at:
             return const.REASON_STOPPING
         return ''
+
+    def _find_next_growth(self, now: int) -> int | None:
+        if (
+            self.description is None
+            or self.state != membership.UPSTREAM_WARMING
+        ):
+            return None
+        warmup_ms = self.description.warmup_ms
+        step_ms = -(-warmup_ms // self.description.slots)
+        return now + max(
+            1, min(step_ms, self._warmup_started_at + warmup_ms - now)
+        )
--- a/shallotwharf/components/upstream/running.py
+++ b/shallotwharf/components/upstream/running.py
@@ -5,10 +5,16 @@
 
 
 class _Running:
-    __slots__ = ('request', 'started_at', 'crashed')
-
-    def __init__(self, request: calls.Request, started_at: int) -> None:
+    __slots__ = ('request', 'start', 'started_at', 'crashed')
+
+    def __init__(
+        self,
+        request: calls.Request,
+        start: int,
+        started_at: int,
+    ) -> None:
         self.request = request
+        self.start = start
         self.started_at = started_at
         self.crashed = False
 
@@ -34,9 +40,19 @@
     def __contains__(self, attempt: str) -> bool:
         return attempt in self._running
 
-    def add(self, attempt: str, request: calls.Request, now: int) -> None:
-        """Add a request that starts now."""
-        self._running[attempt] = _Running(request, now)
+    def add(
+        self,
+        attempt: str,
+        request: calls.Request,
+        start: int,
+        now: int,
+    ) -> None:
+        """Add a request to the `start`-th start of the upstream."""
+        self._running[attempt] = _Running(request, start, now)
+
+    def read_start(self, attempt: str) -> int:
+        """Return at which start of the upstream a request runs."""
+        return self._running[attempt].start
 
     def compute_digest(self, attempt: str) -> bytes:
         """Return the digest of a running request."""
--- a/shallotwharf/components/upstream/settings.py
+++ b/shallotwharf/components/upstream/settings.py
@@ -12,16 +12,25 @@
         queue_wait_ms: longest wait of a queued attempt.
         announce_interval_ms: shortest time between two announcements of
             spare slots.
+        has_notices: whether responses of the upstream carry notices, so that
+            the first one is awaited before all slots are used.
     """
 
-    __slots__ = ('queue_limit', 'queue_wait_ms', 'announce_interval_ms')
+    __slots__ = (
+        'queue_limit',
+        'queue_wait_ms',
+        'announce_interval_ms',
+        'has_notices',
+    )
 
     def __init__(
         self,
         queue_limit: int = const.DEFAULT_QUEUE_LIMIT,
         queue_wait_ms: int = const.DEFAULT_QUEUE_WAIT_MS,
         announce_interval_ms: int = const.DEFAULT_ANNOUNCE_INTERVAL_MS,
+        has_notices: bool = False,
     ) -> None:
         self.queue_limit = queue_limit
         self.queue_wait_ms = queue_wait_ms
         self.announce_interval_ms = announce_interval_ms
+        self.has_notices = has_notices
--- a/shallotwharf/components/upstream/tracker.py
+++ b/shallotwharf/components/upstream/tracker.py
@@ -30,9 +30,15 @@
         self.running.shortest_ms = 0
         self.running.mean_ms = 0
 
-    def begin(self, attempt: str, request: calls.Request, now: int) -> None:
-        """Record an admitted request."""
-        self.running.add(attempt, request, now)
+    def begin(
+        self,
+        attempt: str,
+        request: calls.Request,
+        start: int,
+        now: int,
+    ) -> None:
+        """Record a request admitted to the `start`-th start of the upstream."""
+        self.running.add(attempt, request, start, now)
         self.health.record_start(attempt)
 
     def end(
--- a/shallotwharf/core/bucket.py
+++ b/shallotwharf/core/bucket.py
@@ -21,7 +21,7 @@
         Args:
             tokens: initial number of tokens.
             now: start of the refill in clock milliseconds; by default the
-                first call of `take`.
+                first call of `refill` or `take`.
         """
         self.tokens = tokens
         self._refilled_at = now
@@ -30,12 +30,16 @@
         """Add tokens up to the cap."""
         self.tokens = min(self.tokens + amount, cap)
 
-    def take(self, now: int, per_second: float, cap: float) -> bool:
-        """Refill, then remove one token; return False if there is none."""
+    def refill(self, now: int, per_second: float, cap: float) -> None:
+        """Add the tokens of the time since the last refill."""
         if self._refilled_at is not None:
             elapsed = now - self._refilled_at
             self.add(elapsed * per_second / clock.SECOND_MS, cap)
         self._refilled_at = now
+
+    def take(self, now: int, per_second: float, cap: float) -> bool:
+        """Refill, then remove one token; return False if there is none."""
+        self.refill(now, per_second, cap)
         if self.tokens < 1:
             return False
         self.tokens -= 1
--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -45,6 +45,7 @@
     __slots__ = ('_service',)
 
     allows_eof_body = True
+    has_notices = True
 
     def __init__(self, service: str) -> None:
         """Set the service of the upstream beside this node."""
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -11,6 +11,7 @@
 from shallotwharf.components.membership import messages as member_messages
 from shallotwharf.components.roster import finder
 from shallotwharf.components.upstream import messages as upstream_messages
+from shallotwharf.components.upstream import settings as gate_settings
 from shallotwharf.core import call_interfaces, clock, logs
 from shallotwharf.roles import addresses as control_addresses
 from shallotwharf.roles import callpath, process
@@ -96,7 +97,9 @@
             settings.name,
             settings.location,
         )
-        self._build_aggregates()
+        self._build_aggregates(
+            gate_settings.GateSettings(has_notices=chosen_format.has_notices)
+        )
         self._services = self._build_services(chosen_format)
         self._servers = (
             inbound.CallServer(
@@ -186,7 +189,7 @@
         left_ms = max(ends_at - self._runtime.clock.read(), 0)
         return left_ms / clock.SECOND_MS
 
-    def _build_aggregates(self) -> None:
+    def _build_aggregates(self, limits: gate_settings.GateSettings) -> None:
         runtime = self._runtime
         settings = self._settings
         location = settings.location
@@ -208,6 +211,7 @@
             runtime,
             started_at,
             settings.retries,
+            limits,
         )
         self._subscriber = direct.DirectSubscriber(member, runtime.random)
         self._others = (
--- a/shallotwharf/roles/node/wiring.py
+++ b/shallotwharf/roles/node/wiring.py
@@ -24,6 +24,7 @@
         runtime: process.Runtime,
         started_at: int,
         retries: budget.Limits | None = None,
+        limits: gate_settings.GateSettings | None = None,
     ) -> None:
         """Create the aggregates; none is started.
 
@@ -33,6 +34,7 @@
             runtime: adapters and dispatcher of the process.
             started_at: start time, in milliseconds since the epoch.
             retries: limits of retries; None for the defaults.
+            limits: settings of the gate; None for the defaults.
         """
         self.watcher = watcher.Watcher(
             member.name,
@@ -43,7 +45,7 @@
         self.poison_list = poison.PoisonList(member.name, started_at)
         self.gate = gate.Gate(
             member,
-            gate_settings.GateSettings(),
+            limits or gate_settings.GateSettings(),
             poison_list.SharedPoisonList(self.poison_list),
             started_at,
         )
--- a/tests/components/upstream/test_notices.py
+++ b/tests/components/upstream/test_notices.py
@@ -20,7 +20,7 @@
 def build_gate(generation=0, instance='i1', slots=9):
     made = gate.Gate(
         NODE,
-        settings.GateSettings(),
+        settings.GateSettings(has_notices=True),
         call_interfaces.EmptyPoisonList(),
         generation,
     )
