Drain an upstream that states that it leaves

An upstream that leaves says so in all its responses, also before its check-in arrives and where a check-in is lost; nobody read that. The gate now drains it from the first such response on, and announces that.

--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -219,7 +219,8 @@
                     notice, self.count_running(), self._offer.admitted
                 ),
             )
-            self._offer.apply_notice(notice, now)
+            if self._offer.apply_notice(notice, now):
+                self._refuse_queued(const.REASON_DRAINING)
         if self._queue:
             self._process_queue(now)
         self._announce(now)
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -66,10 +66,11 @@
         self.admitted += 1
         self.rate.take(now)
 
-    def apply_notice(self, notice: calls.UpstreamNotice, now: int) -> None:
-        """Apply what the upstream stated in a response."""
+    def apply_notice(self, notice: calls.UpstreamNotice, now: int) -> bool:
+        """Apply a notice; return whether the upstream begins to drain."""
         self._is_proven = True
         self.rate.change(notice.rate_limit, now)
+        return notice.is_leaving and self.drain()
 
     def drain(self) -> bool:
         """Stop offering slots; return False if nothing changed."""
