Do not use an upstream again that stated that it leaves

A node that restarts beside an upstream that leaves does not know that, and a late check-in makes it offer the upstream again; the other nodes, which had passed on responses that say so, then sent it calls. Gates now state in responses to other nodes which start of the upstream leaves, announcements name the start, and a node does not choose one that it knows to leave.

The new tests fail without it: a call after the restart reaches the upstream, now it is refused as not run.

--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -331,6 +331,9 @@
                 self._services.clock.read()
             )
             response.headers[headers.SPARE] = str(spare)
+            leaving = self._services.gate.find_leaving()
+            if leaving:
+                response.headers[headers.LEAVING] = leaving
         self._responder.respond(response)
 
     def _set_timer(self, deadline_at: int, now: int) -> None:
--- a/shallotwharf/adapters/headers.py
+++ b/shallotwharf/adapters/headers.py
@@ -12,6 +12,9 @@
 FORWARDED: typing.Final = 'Shallotwharf-Forwarded'
 # In responses between nodes: number of free slots at the gate.
 SPARE: typing.Final = 'Shallotwharf-Spare'
+# In responses between nodes: incarnation of an upstream that stated that it
+# leaves.
+LEAVING: typing.Final = 'Shallotwharf-Leaving'
 # In responses between nodes: outcome of the attempt and its reason.
 OUTCOME: typing.Final = 'Shallotwharf-Outcome'
 # Request id that a caller may set; used in logs.
@@ -39,7 +42,9 @@
         _EXPECT,
     )
 )
-_INTERNAL: typing.Final = frozenset((ATTEMPT, FORWARDED, OUTCOME, SPARE))
+_INTERNAL: typing.Final = frozenset(
+    (ATTEMPT, FORWARDED, LEAVING, OUTCOME, SPARE),
+)
 _ATTEMPT_HEADERS: typing.Final = frozenset(
     (ATTEMPT, DEADLINE, RETRIED, FORWARDED),
 )
@@ -175,13 +180,16 @@
         return calls.Result(calls.OUTCOME_CROSSED, 'attempt_mismatch')
     stated = numbers.parse_count(headers.get(SPARE, ''))
     spare = -1 if stated is None else stated
+    leaving = headers.get(LEAVING, '')
     reported = headers.get(OUTCOME)
     if reported is None:
-        return calls.Result(calls.OUTCOME_ANSWERED, '', status, spare)
+        return calls.Result(
+            calls.OUTCOME_ANSWERED, '', status, spare, leaving=leaving
+        )
     outcome, _, reason = reported.partition(' ')
     if outcome not in _REPORTED:
         return calls.Result(calls.OUTCOME_CROSSED, 'unknown_outcome')
-    return calls.Result(outcome, reason, spare=spare)
+    return calls.Result(outcome, reason, spare=spare, leaving=leaving)
 
 
 def write_outcome(step: calls.Respond) -> str:
--- a/shallotwharf/components/call/plan.py
+++ b/shallotwharf/components/call/plan.py
@@ -150,6 +150,8 @@
         target.in_flight -= 1
         if result.spare >= 0:
             target.update_spare(result.spare, now)
+        if result.leaving:
+            self._context.directory.exclude(target, result.leaving)
         if result.outcome != calls.OUTCOME_CANCELLED:
             target.failure_rate.record(rules.is_failure(result), now)
         if result.outcome in const.UNRESPONSIVE_OUTCOMES:
--- a/shallotwharf/components/call/targets.py
+++ b/shallotwharf/components/call/targets.py
@@ -199,13 +199,25 @@
 
 
 class Directory:
-    """Targets by service and version, nearest data centre first."""
+    """Targets by service and version, nearest data centre first.
 
-    __slots__ = ('_local', '_targets', '_groups', '_any_version_groups')
+    An upstream that stated that it leaves is excluded for good, also if its
+    node restarts and offers it again.
+    """
+
+    __slots__ = (
+        '_local',
+        '_targets',
+        '_leaving',
+        '_groups',
+        '_any_version_groups',
+    )
 
     def __init__(self, local: membership.Member) -> None:
         self._local = local
         self._targets: dict[str, Target] = {}
+        # Incarnations of the upstreams that leave, by the node beside them.
+        self._leaving: dict[str, str] = {}
         self._groups: dict[tuple[str, str], list[Group]] = {}
         self._any_version_groups: dict[_Selection, list[Group]] = {}
 
@@ -229,7 +241,7 @@
             by_datacentre: dict[str, list[Target]] = {}
             for target in self.list_targets(service):
                 row = target.announcement
-                if row.state in OPEN_STATES and row.version not in excluded:
+                if self._is_open(row) and row.version not in excluded:
                     by_datacentre.setdefault(row.node.datacentre, []).append(
                         target
                     )
@@ -248,6 +260,13 @@
             if target.announcement.service == service
         ]
 
+    def exclude(self, target: Target, incarnation: str) -> None:
+        """Exclude the incarnation of an upstream that leaves."""
+        node = target.announcement.node.name
+        if self._leaving.get(node) != incarnation:
+            self._leaving[node] = incarnation
+            self._build_groups()
+
     def replace(
         self,
         announcements: tuple[membership.Announcement, ...],
@@ -300,11 +319,17 @@
         target.update(announcement, now)
         return _read_grouping(announcement) != _read_grouping(previous)
 
+    def _is_open(self, row: membership.Announcement) -> bool:
+        leaving = self._leaving.get(row.node.name, '')
+        return row.state in OPEN_STATES and (
+            not leaving or row.incarnation != leaving
+        )
+
     def _build_groups(self) -> None:
         by_group: dict[tuple[str, str, str], list[Target]] = {}
         for target in self._targets.values():
             row = target.announcement
-            if row.state in OPEN_STATES:
+            if self._is_open(row):
                 key = (row.service, row.version, row.node.datacentre)
                 by_group.setdefault(key, []).append(target)
         self._any_version_groups = {}
@@ -334,4 +359,4 @@
 
 
 def _read_grouping(row: membership.Announcement) -> tuple[object, ...]:
-    return row.service, row.version, row.state, row.node
+    return row.service, row.version, row.state, row.node, row.incarnation
--- a/shallotwharf/components/membership/messages.py
+++ b/shallotwharf/components/membership/messages.py
@@ -64,6 +64,7 @@
         spare: free slots at the time of the announcement.
         generation: increases with each announcement of the node; the highest
             one is current.
+        incarnation: identifies the start of the upstream; empty if unknown.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         'slots',
         'spare',
         'generation',
+        'incarnation',
     )
 
     def __init__(
@@ -85,6 +87,7 @@
         slots: int,
         spare: int,
         generation: int,
+        incarnation: str = '',
     ) -> None:
         self.node = node
         self.service = service
@@ -93,6 +96,7 @@
         self.slots = slots
         self.spare = spare
         self.generation = generation
+        self.incarnation = incarnation
 
 
 @messages.register('membership.members_changed')
--- a/shallotwharf/components/upstream/announcer.py
+++ b/shallotwharf/components/upstream/announcer.py
@@ -51,6 +51,7 @@
             description.service,
             description.version,
             description.slots,
+            description.incarnation,
             state,
         )
         changed = self._announced[:-1] != current
@@ -110,6 +111,7 @@
                     description.slots,
                     spare,
                     self._generation,
+                    description.incarnation,
                 ),
             ),
         )
--- a/shallotwharf/components/upstream/gate.py
+++ b/shallotwharf/components/upstream/gate.py
@@ -234,6 +234,13 @@
         spare = min(slots, self._offer.rate.count_tokens(now))
         return max(spare - queued, 0)
 
+    def find_leaving(self) -> str:
+        """Return the incarnation of an upstream that stated that it leaves."""
+        description = self._offer.description
+        if description is None or not self._offer.is_leaving:
+            return ''
+        return description.incarnation
+
     def count_running(self) -> int:
         """Return the number of running requests."""
         return len(self._tracker.running)
@@ -308,10 +315,8 @@
                 self._offer.find_shortage_reason(self._limits.queue_limit, now),
             )
         if displaced is not None:
-            self._send_reply(
-                displaced.step.attempt,
-                self._refuse(const.REASON_QUEUE_FULL),
-            )
+            refused = self._refuse(const.REASON_QUEUE_FULL)
+            self.outbox.append(effects.Answer(displaced.step.attempt, refused))
         self.outbox.append(effects.Count(const.COUNTER_QUEUED))
         self._set_queue_timer(now)
         return calls.Queued()
@@ -322,15 +327,14 @@
             reason = const.REASON_SLOTS_FULL
             if late.is_deadline:
                 reason = const.REASON_DEADLINE
-            self._send_reply(late.step.attempt, self._refuse(reason))
+            refused = self._refuse(reason)
+            self.outbox.append(effects.Answer(late.step.attempt, refused))
         if not self._tracker.health.admits(now):
             self._refuse_queued(const.REASON_UNHEALTHY)
         while self._queue and self._offer.has_room(self.count_running(), now):
             entry = self._queue.pop()
-            self._send_reply(
-                entry.step.attempt,
-                self._admit(entry.step, entry.request, now),
-            )
+            admitted = self._admit(entry.step, entry.request, now)
+            self.outbox.append(effects.Answer(entry.step.attempt, admitted))
             if not self._tracker.health.healthy:
                 return
 
@@ -365,9 +369,7 @@
         self.outbox.append(effects.Count(f'{const.COUNTER_REFUSED}{reason}'))
         return calls.Refused(reason)
 
-    def _send_reply(self, attempt: str, admission: calls.Admission) -> None:
-        self.outbox.append(effects.Answer(attempt, admission))
-
     def _refuse_queued(self, reason: str) -> None:
         for entry in self._queue.drain_all():
-            self._send_reply(entry.step.attempt, self._refuse(reason))
+            refused = self._refuse(reason)
+            self.outbox.append(effects.Answer(entry.step.attempt, refused))
--- a/shallotwharf/components/upstream/offer.py
+++ b/shallotwharf/components/upstream/offer.py
@@ -14,6 +14,7 @@
         starts: number of starts of the upstream seen so far.
         rate: limit that the upstream names on the requests a second.
         admitted: number of requests admitted so far.
+        is_leaving: whether the upstream stated that it leaves.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         'starts',
         'rate',
         'admitted',
+        'is_leaving',
         '_has_notices',
         '_is_proven',
         '_warmup_started_at',
@@ -39,6 +41,7 @@
         self.starts = 0
         self.rate = rate_limit.RateLimit()
         self.admitted = 0
+        self.is_leaving = False
         self._has_notices = has_notices
         self._is_proven = True
         self._warmup_started_at = 0
@@ -57,6 +60,7 @@
             self.state = membership.UPSTREAM_DRAINING
         self._warmup_started_at = now
         self.starts += 1
+        self.is_leaving = False
         self.rate = rate_limit.RateLimit()
         self._is_proven = not self._has_notices
         return True
@@ -70,6 +74,7 @@
         """Apply a notice; return whether the upstream begins to drain."""
         self._is_proven = True
         self.rate.change(notice.rate_limit, now)
+        self.is_leaving = self.is_leaving or notice.is_leaving
         return notice.is_leaving and self.drain()
 
     def drain(self) -> bool:
--- a/shallotwharf/core/call_interfaces.py
+++ b/shallotwharf/core/call_interfaces.py
@@ -58,6 +58,13 @@
     def count_spare_slots(self, now: int) -> int:
         """Return how many slots are free at `now`."""
 
+    @abc.abstractmethod
+    def find_leaving(self) -> str:
+        """Return the incarnation of an upstream that stated that it leaves.
+
+        Empty if it did not.
+        """
+
     @abc.abstractmethod
     def leave(self, attempt: str, result: calls.Result, now: int) -> None:
         """Release the slot or the queue entry of an attempt that ended."""
@@ -241,7 +248,10 @@
         port: port it listens on.
         slots: number of requests it runs concurrently.
         warmup_ms: time in which the offered slots increase to `slots`.
-        instance: identifier that differs after each start.
+        instance: identifier of the upstream.
+        started_at: when it started, in milliseconds since the epoch by its own
+            clock; 0 if not stated. Differs if it starts again under the same
+            identifier.
     """
 
     __slots__ = (
@@ -252,6 +262,7 @@
         'slots',
         'warmup_ms',
         'instance',
+        'started_at',
     )
 
     def __init__(
@@ -263,6 +274,7 @@
         slots: int,
         warmup_ms: int,
         instance: str,
+        started_at: int = 0,
     ) -> None:
         self.service = service
         self.version = version
@@ -271,3 +283,11 @@
         self.slots = slots
         self.warmup_ms = warmup_ms
         self.instance = instance
+        self.started_at = started_at
+
+    @property
+    def incarnation(self) -> str:
+        """Return a name of this start of the upstream; empty if unknown."""
+        if not self.instance:
+            return ''
+        return f'{self.instance}/{self.started_at}'
--- a/shallotwharf/core/calls.py
+++ b/shallotwharf/core/calls.py
@@ -132,9 +132,19 @@
         size: length of the body of a complete response in bytes.
         notice: what the upstream beside this node stated in its response;
             None without a response, or if it cannot state anything.
+        leaving: incarnation of the upstream beside another node if it stated
+            that it leaves; empty if not.
     """
 
-    __slots__ = ('outcome', 'reason', 'status', 'spare', 'size', 'notice')
+    __slots__ = (
+        'outcome',
+        'reason',
+        'status',
+        'spare',
+        'size',
+        'notice',
+        'leaving',
+    )
 
     def __init__(
         self,
@@ -144,6 +154,7 @@
         spare: int = -1,
         size: int = 0,
         notice: UpstreamNotice | None = None,
+        leaving: str = '',
     ) -> None:
         self.outcome = outcome
         self.reason = reason
@@ -151,6 +162,7 @@
         self.spare = spare
         self.size = size
         self.notice = notice
+        self.leaving = leaving
 
     @property
     def reached(self) -> bool:
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -137,6 +137,7 @@
     checks.check(
         isinstance(document['version'], str), 'version must be a string'
     )
+    started_at = checks.check_count(document.get('born', 0))
     return call_interfaces.UpstreamReport(
         call_interfaces.UpstreamDescription(
             document['service'],
@@ -146,9 +147,10 @@
             slots,
             _WARMUP_MS,
             instance,
+            started_at,
         ),
         document['state'] == _DRAINING,
-        checks.check_count(document.get('born', 0)),
+        started_at,
         checks.check_count(document['sequence']),
     )
 
--- a/tests/components/call/build.py
+++ b/tests/components/call/build.py
@@ -38,6 +38,7 @@
     spare=5,
     state=membership.UPSTREAM_READY,
     generation=1,
+    incarnation='',
 ):
     return membership.Announcement(
         build_member(name, datacentre, region),
@@ -47,6 +48,7 @@
         10,
         spare,
         generation,
+        incarnation,
     )
 
 
--- a/tests/components/call/test_targets.py
+++ b/tests/components/call/test_targets.py
@@ -160,3 +160,29 @@
     plan.start(10_000)
     plan.resume(calls.Result(calls.OUTCOME_ANSWERED, '', 200, spare=4), 10_000)
     assert target.estimate_spare(10_001) == 4
+
+
+@pytest.mark.parametrize(
+    ('incarnation', 'generation', 'is_used'),
+    # Another load of the same start; after a restart of the node; a later
+    # start; a node of an earlier release.
+    [('i1/5', 1, False), ('i1/5', 9, False), ('i1/6', 9, True), ('', 9, True)],
+)
+def test_upstream_that_stated_that_it_leaves_is_not_used_again(
+    incarnation, generation, is_used
+):
+    row = build.build_row('a', incarnation='i1/5')
+    made = build.build_router(row)
+    plan = made.plan(calls.Request('GET', '/'))
+    plan.start(0)
+    plan.resume(calls.Result('answered', '', 200, leaving='i1/5'), 10)
+    build.announce(
+        made,
+        build.build_row(
+            'a', spare=4, incarnation=incarnation, generation=generation
+        ),
+    )
+    step = made.plan(calls.Request('GET', '/')).start(20)
+    assert isinstance(step, calls.Forward) == is_used
+    if not is_used:
+        assert (step.status, step.not_run) == (503, True)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -329,3 +329,20 @@
     assert await async_send(nodes[0], 'a1', 'HEAD') == (200, b'')
     raw.response = lambda _: late + whole if len(raw.requests) == 2 else whole
     assert await async_send(nodes[0], 'a2', 'GET') == (200, forged)
+
+
+@raw_calls.on_loop
+async def test_upstream_that_leaves_is_not_used_after_a_restart_of_its_node():
+    """Guards against a node that offers it again, as of a late check-in."""
+    leaving = SIGNED_HEADERS + b'Server-Leaving: 1\r\n'
+    nodes, raw = await async_build(build_answer(more=leaving), count=2)
+    caller, beside = nodes
+    assert await async_call(caller) == (200, b'ok')
+    await beside.async_close()
+    restarted = await callnodes.Node('n1', caller.mesh).async_listen()
+    restarted.services.header_format = caller.services.header_format
+    restarted.gate._announcer._generation = 1000
+    restarted.announce(raw.port, instance='i-1')
+    caller.deliver_announcements()
+    status, _ = await async_call(caller)
+    assert (status, len(raw.requests)) == (503, 1)
