Show the failure of a test whose traceback the interpreter breaks

While a traceback is formatted, CPython 3.11 parses source code; finalizers of streams that run meanwhile end it with 'AST constructor recursion depth mismatch', which hid the failure of tests over sockets. No garbage is collected then. A test that fails by design showed the error before and shows its own failure now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -33,6 +33,17 @@
     gc.collect()
 
 
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport():
+    """Collect no garbage while a traceback is formatted, for the same reason.
+
+    Otherwise the error of the interpreter hides the failure of the test.
+    """
+    gc.disable()
+    yield
+    gc.enable()
+
+
 def read_known_red():
     return [
         line.removeprefix(_ENTRY)
