Leave an upstream at once whose address is not valid

An announcement whose port is out of range ended the task that connects with an OverflowError (a zero byte in the host with a ValueError). The call was not told and waited for its deadline, four times of four, instead of going to another upstream. A host that is no IP address was resolved in a thread.

Hosts and ports are now checked before a connection is opened, and count as unreached: the call goes on at once, or is refused as not run.

--- a/shallotwharf/adapters/outbound.py
+++ b/shallotwharf/adapters/outbound.py
@@ -4,7 +4,7 @@
 import typing
 
 from shallotwharf.adapters import connection, response_memory
-from shallotwharf.core import counters
+from shallotwharf.core import counters, endpoints
 
 # A connect takes 1 ms within a region and 24 ms between regions.
 CONNECT_TIMEOUT_SECONDS: typing.Final = 0.25
@@ -114,6 +114,9 @@
         return opened
 
     async def _async_connect(self, opened: connection.Connection) -> None:
+        if not endpoints.is_valid(self._host, self._port):
+            opened.fail(connection.REASON_CONNECT)
+            return
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 await self._loop.create_connection(
--- a/tests/adapters/test_calls.py
+++ b/tests/adapters/test_calls.py
@@ -686,6 +686,40 @@
     assert not any(b'Forwarded' in request for request in raw.requests)
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        {'call_port': -1},
+        {'call_port': 70_000},
+        {'call_port': 2**64},
+        {'host': 'no-address'},
+        {'host': '\0'},
+    ],
+    ids=repr,
+)
+@on_loop
+async def test_odd_address_of_an_upstream_does_not_hold_its_calls(address):
+    """Guards against a call that waits for its deadline in vain."""
+    nodes, _ = await async_build(OK)
+    known = nodes[0].mesh.announcements
+    known['n9'] = known['n0'].replace(
+        node=known['n0'].node.replace(name='n9', **address),
+        slots=99,
+        spare=99,
+    )
+    nodes[0].deliver_announcements()
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    for _ in range(4):
+        got = await async_call(nodes[0], 'POST', '/cut', body='x')
+        assert got == (200, b'ok')
+    known.pop('n0')
+    nodes[0].deliver_announcements()
+    got = await async_call(nodes[0], 'POST', '/cut', body='x')
+    assert got[0] == 503 and parse_refusal(got)[2] is True
+    assert loop.time() - began_at < 1
+
+
 @on_loop
 async def test_unreached_upstream_did_not_run_the_call():
     nodes, raw = await async_build(OK, 2)
