Drop odd entries of the membership alone

An entry with a number of more than 4,300 digits ended the digest of all entries with a ValueError, at each node that gossip brought it to: they stopped comparing their entries with others for good. An address that is not valid ended the task that opens a link.

Entries with an address or a number out of range are now dropped when they arrive, and counted; the others of the same message hold. Links take no such address.

--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -18,6 +18,7 @@
 from shallotwharf.adapters import codec, link_frames, link_peers, traffic
 from shallotwharf.core import (
     counters,
+    endpoints,
     errors,
     locations,
     logs,
@@ -92,8 +93,11 @@
         self._deliver = deliver
 
     def set_address(self, peer: str, host: str, port: int) -> None:
-        """Set the address that a peer listens on."""
-        self._find_peer(peer).address = (host, port)
+        """Set the address that a peer listens on, if it is valid."""
+        if endpoints.is_valid(host, port):
+            self._find_peer(peer).address = (host, port)
+        else:
+            self._counters.add('links.addresses_refused')
 
     async def async_listen(self) -> None:
         """Start accepting connections.
@@ -264,7 +268,7 @@
             )
             return
         peer = self._find_peer(hello.name)
-        peer.address = (hello.host, hello.port)
+        self.set_address(hello.name, hello.host, hello.port)
         peer.location = hello.read_location()
         added = link_peers.Opened(opened)
         if hello.reads_compressed:
--- a/shallotwharf/components/membership/exchange.py
+++ b/shallotwharf/components/membership/exchange.py
@@ -151,7 +151,7 @@
         if number == 0 or now - heartbeat_at >= const.HEARTBEAT_PERIOD_MS:
             heartbeat = wire.Heartbeat(message.datacentre, number + 1)
             batch = batch.replace(heartbeats=(heartbeat,))
-        step = self._view.merge(batch, now)
+        step = self._view.merge_received(batch, now)
         if message.more and session is not None:
             renewal = relay_messages.Subscribe(session.log_id, session.after)
             step.append(effects.Send(sender, renewal))
--- a/shallotwharf/components/membership/failure_detector.py
+++ b/shallotwharf/components/membership/failure_detector.py
@@ -81,13 +81,13 @@
         now: int,
     ) -> Effects:
         """Acknowledge a probe."""
-        step = self._view.merge(message.batch, now)
+        step = self._view.merge_received(message.batch, now)
         ack = wire.Ack(message.number, self._view.select_gossip(now))
         return [effects.Send(sender, ack), *step]
 
     def accept(self, message: wire.Ack, now: int) -> Effects:
         """Record the answer to a probe, or forward it to the requester."""
-        step = self._view.merge(message.batch, now)
+        step = self._view.merge_received(message.batch, now)
         if message.number == self._probe.number and self._probe.target:
             self._probe.complete()
         origin = self._probe.pop_origin(message.number)
--- a/shallotwharf/components/membership/membership.py
+++ b/shallotwharf/components/membership/membership.py
@@ -233,7 +233,7 @@
         now: int,
     ) -> Effects:
         """Merge urgent entries."""
-        return self._view.merge(message.batch, now)
+        return self._view.merge_received(message.batch, now)
 
     def answer_sync(
         self,
--- a/shallotwharf/components/membership/membership_view.py
+++ b/shallotwharf/components/membership/membership_view.py
@@ -12,6 +12,7 @@
     messages,
     suspicions,
     timers,
+    validity,
     wire,
 )
 from shallotwharf.core import effects
@@ -83,6 +84,14 @@
         stale = self.store.list_stale(datacentre, now)
         return stale != self._published.stale_datacentres
 
+    def merge_received(self, batch: wire.Batch, now: int) -> Effects:
+        """Apply the valid entries of another process."""
+        valid, refused = validity.select_valid(batch)
+        step = self.merge(valid, now)
+        if refused:
+            step.append(effects.Count('membership.entries_refused', refused))
+        return step
+
     def merge(self, batch: wire.Batch, now: int) -> Effects:
         """Apply entries and return the effects of those that were newer."""
         before = {
--- a/shallotwharf/components/membership/syncer.py
+++ b/shallotwharf/components/membership/syncer.py
@@ -121,7 +121,9 @@
         local_datacentre = self._view.local.state.member.datacentre
         if message.state.member.datacentre != local_datacentre:
             return []
-        step = self._view.merge(wire.Batch(states=(message.state,)), now)
+        step = self._view.merge_received(
+            wire.Batch(states=(message.state,)), now
+        )
         digests = self._view.store.compute_digests()
         differing = tuple(
             name
@@ -139,7 +141,7 @@
     ) -> Effects:
         """Merge a part of the peer's entries; send those it requests."""
         return [
-            *self._view.merge(message.batch, now),
+            *self._view.merge_received(message.batch, now),
             *self._send_snapshots(sender, message.wanted, (), now),
         ]
 
--- a/tests/adapters/test_links.py
+++ b/tests/adapters/test_links.py
@@ -53,6 +53,23 @@
     return left, right
 
 
+@pytest.mark.parametrize(
+    ('host', 'port'), [('127.0.0.1', 70_000), ('\0', 1), ('no-address', 1)]
+)
+def test_invalid_address_is_not_connected_to(host, port):
+    """Guards against a task that ends with an error of the arithmetic."""
+
+    async def async_check():
+        left, _ = await async_start_pair()
+        left.links.set_address('odd', host, port)
+        assert not left.links.send('odd', MESSAGE)
+        assert left.counters.read('links.addresses_refused') == 1
+        left.links.set_address('right', host, port)
+        assert left.links.send('right', MESSAGE)
+
+    asyncio.run(async_check())
+
+
 def test_reply_uses_the_connection_of_the_request():
     async def async_check():
         left, right = await async_start_pair()
