Refuse check-ins with numbers out of range

A check-in of another writer with a huge sequence or start time made all later check-ins of the upstream look old: its draining would never be noticed, nor its successor. A slot count of 10^400 broke the estimate of the wait in the queue of the gate with an OverflowError.

Slots, sequence and start time are now bounded; a check-in beyond is refused with 400, names no upstream and changes nothing. An end with such a start time counts as one without. The five new cases were accepted before. The test of unreadable check-ins expects the errors that the handler catches, since deep nesting is one of them.

--- a/shallotwharf/platform/checks.py
+++ b/shallotwharf/platform/checks.py
@@ -25,7 +25,8 @@
     return str(raw)
 
 
-def check_count(raw: typing.Any) -> int:
-    """Return a non-negative integer, or raise ValueError."""
-    check(type(raw) is int and raw >= 0, 'expected a non-negative integer')
+def check_count(raw: typing.Any, most: int) -> int:
+    """Return an integer from 0 to `most`, or raise ValueError."""
+    in_range = type(raw) is int and 0 <= raw <= most
+    check(in_range, f'expected an integer from 0 to {most}')
     return int(raw)
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -6,7 +6,7 @@
 from tornado import web
 
 from shallotwharf.adapters import admin
-from shallotwharf.core import call_interfaces, logs
+from shallotwharf.core import call_interfaces, clock, logs
 from shallotwharf.platform import checks, settings
 from shallotwharf.roles.node import seeded as node_process
 
@@ -18,6 +18,13 @@
 # No warm-up limit: a cold upstream is slower, but runs as many requests at once
 # as a warm one.
 _WARMUP_MS: typing.Final = 0
+_MAX_SLOTS: typing.Final = 10_000
+# A check-in a second for 60 years. An odd number above it would make all later
+# check-ins look old.
+_MAX_SEQUENCE: typing.Final = 2_000_000_000
+# A start further ahead of the local time of day is odd, and would make all
+# later starts look old. Clocks of machines differ by seconds.
+_MAX_START_LEAD_MS: typing.Final = 24 * clock.HOUR_MS
 
 
 class InstanceHandler(web.RequestHandler):
@@ -27,15 +34,22 @@
         self,
         registry: call_interfaces.UpstreamRegistry,
         ports: settings.NodePorts,
+        process_clock: clock.Clock,
     ) -> None:
         """Set the registry for check-ins, and the expected upstream."""
         self._registry = registry
         self._ports = ports
+        self._clock = process_clock
 
     def put(self, instance: str) -> None:
         """Validate a check-in and pass it to the registry."""
         try:
-            report = read_report(instance, self.request.body, self._ports)
+            report = read_report(
+                instance,
+                self.request.body,
+                self._ports,
+                self._clock.read_wall(),
+            )
         except checks.PARSE_ERRORS as error:
             logs.write('report_refused', instance=instance, error=repr(error))
             self._reply(_INVALID)
@@ -45,7 +59,8 @@
 
     def delete(self, instance: str) -> None:
         """Mark an instance as ended."""
-        self._registry.end(instance, _read_start(self.request.body))
+        started_at = _read_end(self.request.body, self._clock.read_wall())
+        self._registry.end(instance, started_at)
         self._reply(_OK)
 
     def _reply(self, status: int) -> None:
@@ -82,7 +97,11 @@
         registry: call_interfaces.UpstreamRegistry,
     ) -> None:
         """Start to accept requests."""
-        reports = {'registry': registry, 'ports': self._ports}
+        reports = {
+            'registry': registry,
+            'ports': self._ports,
+            'process_clock': clock.SystemClock(),
+        }
         readiness_arguments = {'status': status}
         metrics_arguments = {'render': status.render_counters}
         self._servers = [
@@ -111,9 +130,12 @@
     instance: str,
     body: bytes,
     ports: settings.NodePorts,
+    wall_now: int,
 ) -> call_interfaces.UpstreamReport:
     """Return the report in the body of a check-in.
 
+    `wall_now` is the time of day in milliseconds since the epoch.
+
     Raises:
         ValueError: or another of `checks.PARSE_ERRORS`, if the body is not
             valid or does not come from the upstream beside this node.
@@ -132,12 +154,12 @@
     checks.check(
         document['state'] in _STATES, 'state is neither ready nor draining'
     )
-    slots = checks.check_count(document['slots'])
+    slots = checks.check_count(document['slots'], _MAX_SLOTS)
     checks.check(slots > 0, 'slots must be above 0')
     checks.check(
         isinstance(document['version'], str), 'version must be a string'
     )
-    started_at = checks.check_count(document.get('born', 0))
+    started_at = _read_start(document, wall_now)
     return call_interfaces.UpstreamReport(
         call_interfaces.UpstreamDescription(
             document['service'],
@@ -151,16 +173,21 @@
         ),
         document['state'] == _DRAINING,
         started_at,
-        checks.check_count(document['sequence']),
+        checks.check_count(document['sequence'], _MAX_SEQUENCE),
+    )
+
+
+def _read_start(document: typing.Any, wall_now: int) -> int:
+    """Return when an instance started; 0 if it is not stated."""
+    return checks.check_count(
+        document.get('born', 0), wall_now + _MAX_START_LEAD_MS
     )
 
 
-def _read_start(body: bytes) -> int:
+def _read_end(body: bytes, wall_now: int) -> int:
     """Return the start time of an ended instance; 0 if it is missing."""
     try:
-        return (
-            checks.check_count(json.loads(body).get('born', 0)) if body else 0
-        )
+        return _read_start(json.loads(body), wall_now) if body else 0
     except checks.PARSE_ERRORS as error:
         logs.write('report_start_unknown', error=repr(error))
         return 0
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -37,4 +37,6 @@
     with pytest.raises(operators.checks.PARSE_ERRORS):
         operators.read_move(body, 5)
     with pytest.raises(operators.checks.PARSE_ERRORS):
-        test_upstreams.upstreams.read_report('i', body, test_upstreams.PORTS)
+        test_upstreams.upstreams.read_report(
+            'i', body, test_upstreams.PORTS, test_upstreams.NOW
+        )
--- a/tests/platform/test_upstreams.py
+++ b/tests/platform/test_upstreams.py
@@ -4,11 +4,12 @@
 
 import pytest
 
-from shallotwharf.platform import settings, upstreams
+from shallotwharf.platform import checks, settings, upstreams
 
 PORTS = settings.NodePorts(
     ('127.0.0.1', 1), ('127.0.0.1', 2), ('10.0.0.9', 8080), 'svc', 'plz-a'
 )
+NOW = 1_700_000_000_000
 CHECK_IN = {
     'service': 'svc',
     'address': '10.0.0.9:8080',
@@ -24,7 +25,7 @@
 
 def read(**changes):
     body = json.dumps(CHECK_IN | changes).encode()
-    return upstreams.read_report('i-1', body, PORTS)
+    return upstreams.read_report('i-1', body, PORTS, NOW)
 
 
 def test_check_in_becomes_a_report():
@@ -52,6 +53,12 @@
         {'sequence': None},
         {'born': 1.5},
         {'version': 7},
+        # Numbers that would make later check-ins look old, or break divisions.
+        {'slots': 10_001},
+        {'slots': 10**400},
+        {'sequence': 2**31},
+        {'born': NOW + 2 * 86_400_000},
+        {'born': 10**400},
     ],
 )
 def test_check_in_with_an_invalid_field_is_refused(changes):
@@ -59,7 +66,11 @@
         read(**changes)
 
 
-@pytest.mark.parametrize('body', [b'', b'{', b'[]', b'\xff\x00', b'{}'])
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{', b'[]', b'\xff\x00', b'{}', b'[' * 100_000, b'9' * 5000],
+    ids=lambda body: repr(body[:8]),
+)
 def test_unreadable_check_in_is_refused(body):
-    with pytest.raises((ValueError, TypeError, KeyError)):
-        upstreams.read_report('i-1', body, PORTS)
+    with pytest.raises(checks.PARSE_ERRORS):
+        upstreams.read_report('i-1', body, PORTS, NOW)
