Refuse configurations with numbers out of range

A version of more than 4,300 decimal digits was committed to the log, and each control process that applied it, at once and after each restart, failed with a ValueError when it wrote the number as text. A weight of 10^400 broke the choice of a pool, and such an aim the time to come back, for each call of their route.

A longer aim than the longest time-out counts as that time.

--- a/shallotwharf/platform/document.py
+++ b/shallotwharf/platform/document.py
@@ -115,7 +115,7 @@
         retries=attempts - 1,
         host=host.lower(),
         shares=tables_const.NO_SHARES if single else shares,
-        aim_ms=_read_ms(rule['aimS']),
+        aim_ms=min(max(_read_ms(rule['aimS']), 0), tables_const.MAX_TIMEOUT_MS),
     )
 
 
@@ -129,8 +129,8 @@
     checks.check(bool(shares), 'weightedServices is empty')
     for weight in shares.values():
         checks.check(
-            type(weight) is int and weight >= 0,
-            'weight must be a non-negative integer',
+            type(weight) is int and 0 <= weight <= tables_const.MAX_SHARE,
+            f'weight must be an integer from 0 to {tables_const.MAX_SHARE}',
         )
     return shares
 
@@ -149,7 +149,13 @@
     # The first configuration may have the integer 0 as its base version.
     if raw == 0 and type(raw) is int:
         return 0
-    return int(checks.check_text(raw), _HEX)
+    number = int(checks.check_text(raw), _HEX)
+    # Eight hexadecimal digits. The number of a version that control accepts is
+    # written as text by each process that applies it, so it must be bounded.
+    checks.check(
+        0 <= number <= tables_const.MAX_REVISION, f'{name} is out of range'
+    )
+    return number
 
 
 def _read_ms(seconds: typing.Any) -> int:
--- a/shallotwharf/platform/operators.py
+++ b/shallotwharf/platform/operators.py
@@ -39,6 +39,7 @@
     },
 )
 _RUNNING: typing.Final = 'running'
+_MAX_PERIOD_MS: typing.Final = 24 * clock.HOUR_MS
 
 
 class _Handler(web.RequestHandler):
@@ -192,7 +193,10 @@
     """
     request = json.loads(body)
     period_ms = round(float(request['periodS']) * clock.SECOND_MS)
-    checks.check(period_ms > 0, 'periodS must be above 0')
+    checks.check(
+        0 < period_ms <= _MAX_PERIOD_MS,
+        'periodS must be above 0 and at most a day',
+    )
     return ledger.OrderMove(
         str(request['service']),
         str(request['toVersion']),
--- a/tests/platform/test_document.py
+++ b/tests/platform/test_document.py
@@ -80,8 +80,8 @@
     assert read(CONFIG | {'limits': {}}).digest != read(CONFIG).digest
 
 
-def change(path, setting):
-    config = copy.deepcopy(CONFIG)
+def change(path, setting, original=None):
+    config = copy.deepcopy(original or CONFIG)
     parent = config
     for step in path[:-1]:
         parent = parent[step]
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize(
     'period',
-    [0, -1, 'soon', None, [], float('inf'), float('nan')],
+    [0, -1, 'soon', None, [], float('inf'), float('nan'), 1e300, 86_401],
 )
 def test_invalid_period_is_refused(period):
     with pytest.raises(operators.checks.PARSE_ERRORS):
