Publish the group again after a store of its first configuration failed

While the disk of a process was full, it adopted its first configuration, the store failed and the step was rolled back, with the event that tells the other components of the process about the group. Once the disk had room, the same configuration was adopted again and taken for published. The process then served no roster and, as leader, sent the other voters no progress: they never counted as caught up, so that nodes got no floor and refused all calls to the end, while all processes ran.

The failed step now leaves nothing marked as published. The new test failed before.

--- a/shallotwharf/components/replica/lifecycle.py
+++ b/shallotwharf/components/replica/lifecycle.py
@@ -138,7 +138,9 @@
         led = self._state.roll_back()
         self._state.failed_at = now
         self._state.snapshot_wanted = False
+        # Events of the failed step were not published.
         self._published_leader = None
+        self._published_group = None
         self._follower.reset()
         self._state.drop_requests()
         if led:
--- a/tests/components/replica/test_growth.py
+++ b/tests/components/replica/test_growth.py
@@ -12,6 +12,7 @@
 from shallotwharf.components.ledger import ledger
 from shallotwharf.components.ledger import messages as ledger_messages
 from shallotwharf.components.replica import bootstrap, const, messages, replica
+from shallotwharf.components.roster import registrar
 from shallotwharf.components.tables import pool, version
 from shallotwharf.core import locations
 from tests import fakes, folders
@@ -37,6 +38,7 @@
         self.disks = {}
         self.replicas = {}
         self.ledgers = {}
+        self.registrars = {}
         self.boots = 0
         for name in names:
             self.start(name, first=True)
@@ -61,8 +63,13 @@
             location=location,
         )
         self.ledgers[name] = ledger.Ledger()
+        self.registrars[name] = registrar.Registrar()
         self.cluster.start(
-            name, self.ledgers[name], self.replicas[name], storage=storage
+            name,
+            self.ledgers[name],
+            self.registrars[name],
+            self.replicas[name],
+            storage=storage,
         )
 
     def kill(self, name):
@@ -102,6 +109,13 @@
             lambda: self.list_voters() == wanted, limit_ms, 50
         )
 
+    def read_rosters(self):
+        """Return the voters that each process tells to others."""
+        return {
+            name: tuple(voter.name for voter in known._roster.list_voters())
+            for name, known in self.registrars.items()
+        }
+
     def propose(self, revision, base, limit_ms=6000):
         """Propose a command to the leader until it is acknowledged."""
 
@@ -260,3 +274,31 @@
         group.start(name)
     # `find_leader` fails if two processes hold a lease at the same time.
     group.cluster.run_until(lambda: group.find_leader() in others, 10_000, 5)
+
+
+@pytest.mark.parametrize('full', [*NAMES[:5], 'leader'])
+def test_change_of_the_group_is_known_after_the_disk_was_full(full):
+    """Guards against a process that serves an old group to the end.
+
+    Its disk has no room for the entry of the change, which it stores later.
+    """
+    group = Group(names=NAMES[:5])
+    group.wait_for_voters(*NAMES[:5])
+    name = group.find_leader() if full == 'leader' else full
+    group.folders[name].full = True
+    group.start('c6')
+    group.cluster.run_for(2500)
+    group.folders[name].full = False
+    group.wait_for_voters(*NAMES)
+    group.cluster.run_for(2000)
+    assert set(group.read_rosters().values()) == {NAMES}
+
+
+def test_group_is_known_that_was_bootstrapped_with_a_full_disk():
+    group = Group()
+    group.folders['c1'].full = True
+    group.cluster.run_for(2500)
+    group.folders['c1'].full = False
+    group.wait_for_voters(*NAMES)
+    group.cluster.run_for(1000)
+    assert set(group.read_rosters().values()) == {NAMES}
