--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -4,6 +4,8 @@
 step.
 """
 
+import pytest
+
 from shallotwharf.components.ledger import messages as ledger_messages
 from shallotwharf.components.replica import const, messages, protocol
 from tests.components.replica import groups
@@ -392,3 +394,21 @@
     group.start(other)
     group.recover()
     assert read_voters(group) == {'a1', 'b1', 'c1'}
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_disks_that_were_full_one_after_another_delay_no_later_edit(seed):
+    """Guards against a group that never recovers from disks without room."""
+    group = groups.Group('abcdef', seed)
+    group.commit_edit()
+    for name in group.names:
+        group.folders[name].full = True
+        for _ in range(6):
+            group.edit(group.find_leader() or name)
+            group.run(100 + 150 * seed)
+        group.folders[name].full = False
+        group.run(50 * seed)
+    began_at = group.now
+    group.commit_edit()
+    # The users' shortest limit of an acknowledgement.
+    assert group.now - began_at < 4000
