--- a/shallotwharf/platform/header_format.py
+++ b/shallotwharf/platform/header_format.py
@@ -112,7 +112,7 @@
         upstream confirmed it.
         """
         ended = _read_outcome(status, response_headers)
-        ended.notice = _read_notice(response_headers)
+        ended.notice = _read_notice(ended.outcome, response_headers)
         return ended
 
     def build_refusal(
@@ -157,12 +157,18 @@
 
 
 def _read_notice(
+    outcome: str,
     response_headers: httputil.HTTPHeaders,
-) -> calls.UpstreamNotice:
+) -> calls.UpstreamNotice | None:
+    """Return what a response states; None if it states nothing.
+
+    Only the upstream's own answer without a limit shows that there is none: a
+    refusal may come from a part of it that does not know.
+    """
     limit = response_headers.get(_LIMIT)
     leaving = response_headers.get(_LEAVING)
     if limit is None and leaving is None:
-        return _SILENT
+        return _SILENT if outcome == calls.OUTCOME_ANSWERED else None
     return calls.UpstreamNotice(
         None if limit is None else numbers.parse_decimal(limit),
         leaving == _LEAVING_SET,
