--- a/review/stand_ins/target.py
+++ b/review/stand_ins/target.py
@@ -60,6 +60,12 @@
         self._record.write(f'target {self.instance} starts, born {self.born}')
         self._beats = asyncio.create_task(self._beat())
 
+    def restart(self, instance: str) -> None:
+        """Become a new lifetime, which knows nothing of the one before."""
+        self.instance = instance
+        self.born = round(time.time() * 1000)
+        self._sequence = 0
+
     async def crash(self) -> None:
         """End without a word."""
         self._record.write(f'target {self.instance} crashes')
