--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,91 +1,104 @@
-"""An invalid configuration, then a valid one that has to be acknowledged."""
+"""A machine of the core is replaced; then two others lose their disks."""
 
 import asyncio
-import copy
 import json
 import pathlib
+import signal
 import time
 
 from review.stand_ins import case
 from review.stand_ins import fleet as fleets
-from review.stand_ins import http, target
+from review.stand_ins import target
 
-ROUTES = (
-    ('browse', 'idempotent', 'booking'),
-    ('confirm', 'non_idempotent', 'booking'),
-)
-ADDED = ('menu', 'idempotent', 'booking')
-CLEAR = {200, 400, 409, 412, 413, 422}
+ROUTES = (('browse', 'idempotent', 'booking'),)
+# The new machine runs for this long before the old one gets SIGTERM.
+BOTH_S = 4.0
 
 
-def build_invalid() -> dict[str, object]:
-    """Return a configuration with a host that is cut inside a character."""
-    config = fleets.build_config(8, 7, ROUTES, ('booking',))
-    extra = copy.deepcopy(config['listeners'][0])
-    extra['host'] = 'caf\ud83d'
-    config['listeners'].append(extra)
-    return config
+async def replace(fleet: fleets.Fleet, leader: fleets.Machine) -> None:
+    """Replace a machine of the core as planned work.
 
+    The settings of the new one name three machines that run and serve control.
+    """
+    others = [machine for machine in fleet.controls if machine is not leader]
+    old = others[-1]
+    named = others[:3]
+    seeds = [machine.settings['listenAddrs']['control'] for machine in named]
+    added = fleet.add_control(old.settings['zone'], seeds)
+    names = ', '.join(machine.name for machine in named)
+    fleet.record.write(f'{added.name} replaces {old.name}; its seeds: {names}')
+    fleet.start(added)
+    await asyncio.sleep(BOTH_S)
+    fleet.signal(old, signal.SIGTERM)
+    await asyncio.sleep(fleets.BOUNDS['graceS'])
+    if not fleet.has_ended(old):
+        await fleet.kill(old)
+    fleet.controls.remove(old)
+    # The removed machine counts no longer from here on.
+    await asyncio.sleep(fleets.BOUNDS['catchupS'])
 
-async def order_until_clear(
-    operator: fleets.Operator, config: dict[str, object], limit_s: float
-) -> http.Answer | None:
-    """Send a configuration as the operator does, until the answer is clear."""
-    note = f'version {config["version"]}'
-    return await operator.order('PUT', '/-/config', config, limit_s, note)
+
+async def read_back(operator: fleets.Operator, limit_s: float) -> str:
+    """Return the version that control has; empty if it does not come."""
+    ends_at = time.monotonic() + limit_s
+    while time.monotonic() < ends_at:
+        answer = await operator.order('GET', '/-/config', limit_s=2)
+        if answer is not None and answer.status == 200:
+            return str(json.loads(answer.body)['version'])
+        await asyncio.sleep(0.2)
+    return ''
 
 
 async def run_steps(fleet: fleets.Fleet, has_trouble: bool) -> bool:
-    """Return whether the valid configuration was acknowledged in time."""
+    """Return whether the acknowledged configuration is read back."""
     record = fleet.record
     operator = fleets.Operator(fleet)
     first = fleets.build_config(7, 0, ROUTES, ('booking',))
     if await operator.configure(first) != 200:
         raise fleets.Impossible('the first configuration was not accepted')
     await fleets.wait_until_ready(fleet)
-    _, answer = await fleets.request(fleet, fleet.nodes[0], '/browse/1')
-    if answer is None or answer.status != 200:
-        raise fleets.Impossible('the deployment does not serve')
+    fleet.end_bootstrap()
+    leader = await operator.find_leader()
+    record.write(f'{leader.name} leads')
     if has_trouble:
-        refused = await order_until_clear(operator, build_invalid(), 3)
-        status = refused.status if refused else 'no clear answer'
-        record.write(f'answer to the invalid configuration: {status}')
-        if refused is not None and refused.status == 200:
-            return False
-    # The core is left alone from here on: no signal, no cut, no slow disk.
-    await asyncio.sleep(fleets.BOUNDS['stabilityS'])
-    valid = fleets.build_config(9, 7, (*ROUTES, ADDED), ('booking',))
-    began_at = time.monotonic()
-    accepted = await order_until_clear(operator, valid, 30)
-    took_s = time.monotonic() - began_at
-    status = accepted.status if accepted else 'no clear answer'
-    record.write(f'answer to the valid configuration: {status}, {took_s:.1f} s')
-    read = await operator.order('GET', '/-/config', limit_s=3)
-    version = json.loads(read.body)['version'] if read else 'none'
-    record.write(f'version that is read back: {version}')
-    for machine in fleet.controls:
-        if fleet.has_ended(machine):
-            record.write(f'{machine.name} has ended')
-    # `ackS`, and 3 ms for each route.
-    limit_s = fleets.BOUNDS['ackS'] + 0.003 * (len(ROUTES) + 1)
-    return status == 200 and took_s <= limit_s
+        await replace(fleet, leader)
+    leader = await operator.find_leader()
+    record.write(f'{leader.name} leads')
+    second = fleets.build_config(9, 7, ROUTES, ('booking',), timeout_s=2)
+    if await operator.configure(second) != 200:
+        raise fleets.Impossible('the second configuration was not accepted')
+    # Two disks are lost, as many as `faultTolerance` allows.
+    lost = [
+        machine
+        for machine in fleet.controls
+        if machine is not leader and machine.name != 'core-added'
+    ][:2]
+    for machine in lost:
+        await fleet.lose_disk(machine)
+    await asyncio.sleep(1)
+    for machine in lost:
+        fleet.start(machine)
+    await asyncio.sleep(fleets.BOUNDS['recoveryS'])
+    version = await read_back(operator, 10)
+    record.write(f'version that is read back: {version or "none"}')
+    return version == second['version']
 
 
 async def run(record: fleets.Record, has_trouble: bool) -> bool:
-    """Run the case with three control processes and three nodes."""
-    fleet = fleets.Fleet(record, ('booking', 'booking', 'booking'))
+    """Run the case with six control processes and two nodes."""
+    fleet = fleets.Fleet(record, ('booking', 'booking'), 6, 2)
     targets = [
         target.Target(fleet, node, f'i-{number}')
         for number, node in enumerate(fleet.nodes)
     ]
     try:
         fleet.start_all()
-        for started in targets:
-            await started.start()
+        for checking_in in targets:
+            await checking_in.start()
         return await run_steps(fleet, has_trouble)
     finally:
-        for started in targets:
-            await started.stop()
+        for checking_in in targets:
+            await checking_in.stop()
         fleet.close()
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,70 +1,74 @@
-"""A target that starts again while the time of day has jumped back, drains."""
+"""An invalid configuration, then a valid one that has to be acknowledged."""
 
 import asyncio
+import copy
+import json
 import pathlib
+import time
 
 from review.stand_ins import case
 from review.stand_ins import fleet as fleets
-from review.stand_ins import target
+from review.stand_ins import http, target
 
-ROUTES = (('browse', 'idempotent', 'booking'),)
-# How far the clock of one machine jumps back.
-STEP_MS = 2000
-# Time from the end of the target's first process to the start of its second.
-DOWN_S = 1.0
+ROUTES = (
+    ('browse', 'idempotent', 'booking'),
+    ('confirm', 'non_idempotent', 'booking'),
+)
+ADDED = ('menu', 'idempotent', 'booking')
+CLEAR = {200, 400, 409, 412, 413, 422}
 
 
-async def send_requests(fleet: fleets.Fleet, limit_s: float) -> None:
-    """Send requests of consumers at all machines for some seconds."""
-    ends_at = fleet.record.now() + limit_s
-    turn = 0
-    while fleet.record.now() < ends_at:
-        node = fleet.nodes[turn % len(fleet.nodes)]
-        await fleets.request(fleet, node, f'/browse/{turn}')
-        turn += 1
-        await asyncio.sleep(0.02)
+def build_invalid() -> dict[str, object]:
+    """Return a configuration with a host that is cut inside a character."""
+    config = fleets.build_config(8, 7, ROUTES, ('booking',))
+    extra = copy.deepcopy(config['listeners'][0])
+    extra['host'] = 'caf\ud83d'
+    config['listeners'].append(extra)
+    return config
 
 
-async def run_steps(
-    fleet: fleets.Fleet, targets: list[target.Target], has_trouble: bool
-) -> bool:
-    """Return whether the target got no request after `drainS`."""
+async def order_until_clear(
+    operator: fleets.Operator, config: dict[str, object], limit_s: float
+) -> http.Answer | None:
+    """Send a configuration as the operator does, until the answer is clear."""
+    note = f'version {config["version"]}'
+    return await operator.order('PUT', '/-/config', config, limit_s, note)
+
+
+async def run_steps(fleet: fleets.Fleet, has_trouble: bool) -> bool:
+    """Return whether the valid configuration was acknowledged in time."""
     record = fleet.record
     operator = fleets.Operator(fleet)
-    config = fleets.build_config(7, 0, ROUTES, ('booking',))
-    if await operator.configure(config) != 200:
+    first = fleets.build_config(7, 0, ROUTES, ('booking',))
+    if await operator.configure(first) != 200:
         raise fleets.Impossible('the first configuration was not accepted')
     await fleets.wait_until_ready(fleet)
-    first = target.Target(fleet, fleet.nodes[0], 'i-0')
-    targets.append(first)
-    await first.start()
-    await asyncio.sleep(0.3)
+    _, answer = await fleets.request(fleet, fleet.nodes[0], '/browse/1')
+    if answer is None or answer.status != 200:
+        raise fleets.Impossible('the deployment does not serve')
     if has_trouble:
-        record.write(f'the time of day of sidecar 0 jumps by -{STEP_MS} ms')
-    await first.crash()
-    await asyncio.sleep(DOWN_S)
-    again = target.Target(fleet, fleet.nodes[0], 'i-0')
-    targets.append(again)
-    if has_trouble:
-        again.born -= STEP_MS
-    await again.start()
-    # The machines are in touch again, whatever the jump meant for them.
-    await send_requests(fleet, fleets.BOUNDS['stabilityS'] + 1)
-    if not again.runs:
-        raise fleets.Impossible('the target gets no requests')
-    acked_at = await again.drain()
-    record.write('the target was told that its draining is acknowledged')
-    await send_requests(fleet, fleets.BOUNDS['drainS'] + 4)
-    late = [
-        run
-        for run in again.runs
-        if run.at > acked_at + fleets.BOUNDS['drainS']
-    ]
-    record.write(
-        f'{len(late)} requests reached the target later than drainS '
-        'after the acknowledgement'
-    )
-    return not late
+        refused = await order_until_clear(operator, build_invalid(), 3)
+        status = refused.status if refused else 'no clear answer'
+        record.write(f'answer to the invalid configuration: {status}')
+        if refused is not None and refused.status == 200:
+            return False
+    # The core is left alone from here on: no signal, no cut, no slow disk.
+    await asyncio.sleep(fleets.BOUNDS['stabilityS'])
+    valid = fleets.build_config(9, 7, (*ROUTES, ADDED), ('booking',))
+    began_at = time.monotonic()
+    accepted = await order_until_clear(operator, valid, 30)
+    took_s = time.monotonic() - began_at
+    status = accepted.status if accepted else 'no clear answer'
+    record.write(f'answer to the valid configuration: {status}, {took_s:.1f} s')
+    read = await operator.order('GET', '/-/config', limit_s=3)
+    version = json.loads(read.body)['version'] if read else 'none'
+    record.write(f'version that is read back: {version}')
+    for machine in fleet.controls:
+        if fleet.has_ended(machine):
+            record.write(f'{machine.name} has ended')
+    # `ackS`, and 3 ms for each route.
+    limit_s = fleets.BOUNDS['ackS'] + 0.003 * (len(ROUTES) + 1)
+    return status == 200 and took_s <= limit_s
 
 
 async def run(record: fleets.Record, has_trouble: bool) -> bool:
@@ -73,13 +77,12 @@
     targets = [
         target.Target(fleet, node, f'i-{number}')
         for number, node in enumerate(fleet.nodes)
-        if number
     ]
     try:
         fleet.start_all()
         for started in targets:
             await started.start()
-        return await run_steps(fleet, targets, has_trouble)
+        return await run_steps(fleet, has_trouble)
     finally:
         for started in targets:
             await started.stop()
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,13 +24,15 @@
     'ackS': 4,
     'drainS': 2,
     'graceS': 6,
+    'catchupS': 4,
+    'recoveryS': 15,
     'configApplyS': 2,
     'budgetRatio': 0.2,
     'budgetWindowS': 10,
     'budgetExtraTries': 58,
 }
 HEARTBEAT_S = 0.87
-ZONES = ('plz-a', 'prg-a', 'brn-a')
+ZONES = ('plz-a', 'prg-a', 'brn-a', 'plz-b', 'prg-b', 'brn-b')
 REGIONS = ('cz-west', 'cz-central', 'cz-east')
 HOST = 'orders.example'
 
@@ -118,39 +121,64 @@
         self._roles = tomllib.loads(deploy.read_text())['roles']
         if not (ROOT / 'target' / 'deps').is_dir():
             raise Impossible('the build of the deploy file has not run')
+        self._machines: list[Machine] = []
+        # One address is kept for a machine that is added later.
         count = controls + len(services)
-        hosts, base = self._choose_addresses(count)
-        self.controls: list[Machine] = []
-        self.nodes: list[Machine] = []
-        seeds = [f'{host}:{base + 4}' for host in hosts[: min(controls, 3)]]
-        for number, host in enumerate(hosts):
-            is_control = number < controls
-            place = (number if is_control else number - controls) % len(ZONES)
-            fields: dict[str, typing.Any] = {
-                'nodeName': f'{"core" if is_control else "sidecar"}-{number}',
-                'ip': host,
-                'zone': ZONES[place],
-                'region': REGIONS[place],
-                'listenAddrs': {
-                    'inbound': f'{host}:{base + 6}',
-                    'outbound': f'{host}:{base + 7}',
-                    'ready': f'{host}:{base + 1}',
-                    'control': f'{host}:{base + 4}',
-                },
-                'internalPortRange': [base + 20, base + 35],
-                'seeds': seeds,
-                'bootstrap': True,
-                'faultTolerance': {'machines': lost_disks},
-                'bounds': {name: str(raw) for name, raw in BOUNDS.items()},
-                'appAddr': f'{host}:{base + 5}',
-            }
-            folder = pathlib.Path(self._folder.name) / fields['nodeName']
-            folder.mkdir()
-            fields['dataDir'] = str(folder / 'data')
-            if not is_control:
-                fields['service'] = services[number - controls]
-            made = Machine('control' if is_control else 'node', fields, folder)
-            (self.controls if is_control else self.nodes).append(made)
+        hosts, self._base = self._choose_addresses(count + 1)
+        self._spare = hosts.pop()
+        self._lost_disks = lost_disks
+        self.seeds = [
+            f'{host}:{self._base + 4}' for host in hosts[: min(controls, 3)]
+        ]
+        self.controls = [
+            self._build(f'core-{number}', host, number)
+            for number, host in enumerate(hosts[:controls])
+        ]
+        self.nodes = [
+            self._build(f'sidecar-{number}', host, number, service)
+            for number, (host, service) in enumerate(
+                zip(hosts[controls:], services, strict=True)
+            )
+        ]
+
+    def add_control(self, zone: str, seeds: list[str]) -> Machine:
+        """Return an empty machine for control at a new address."""
+        added = self._build('core-added', self._spare, ZONES.index(zone))
+        added.settings['seeds'] = seeds
+        added.settings['bootstrap'] = False
+        self.controls.append(added)
+        return added
+
+    def _build(
+        self, name: str, host: str, number: int, service: str = ''
+    ) -> Machine:
+        place = number % len(ZONES)
+        base = self._base
+        folder = pathlib.Path(self._folder.name) / name
+        folder.mkdir()
+        fields: dict[str, typing.Any] = {
+            'nodeName': name,
+            'ip': host,
+            'zone': ZONES[place],
+            'region': REGIONS[place % len(REGIONS)],
+            'listenAddrs': {
+                'inbound': f'{host}:{base + 6}',
+                'outbound': f'{host}:{base + 7}',
+                'ready': f'{host}:{base + 1}',
+                'control': f'{host}:{base + 4}',
+            },
+            'internalPortRange': [base + 20, base + 35],
+            'seeds': self.seeds,
+            'bootstrap': True,
+            'faultTolerance': {'machines': self._lost_disks},
+            'bounds': {title: str(raw) for title, raw in BOUNDS.items()},
+            'appAddr': f'{host}:{base + 5}',
+            'service': service,
+            'dataDir': str(folder / 'data'),
+        }
+        made = Machine('node' if service else 'control', fields, folder)
+        self._machines.append(made)
+        return made
 
     def _choose_addresses(self, count: int) -> tuple[list[str], int]:
         for _ in range(50):
@@ -208,6 +236,12 @@
         self.signal(machine, signal.SIGKILL)
         await asyncio.to_thread(machine.process.wait)
 
+    async def lose_disk(self, machine: Machine) -> None:
+        """Kill the process of a machine and empty its data folder."""
+        await self.kill(machine)
+        shutil.rmtree(machine.settings['dataDir'])
+        self.record.write(f'{machine.name} has lost its disk')
+
     def has_ended(self, machine: Machine) -> bool:
         """Return whether the process of a machine has ended."""
         return machine.process is not None and machine.process.poll() is not None
@@ -219,7 +253,7 @@
 
     def close(self) -> None:
         """End all processes and remove the temporary folder."""
-        for machine in (*self.controls, *self.nodes):
+        for machine in self._machines:
             if machine.process is not None and machine.process.poll() is None:
                 machine.process.kill()
                 machine.process.wait()
@@ -281,9 +315,6 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._addresses = [
-            machine.address('control') for machine in fleet.controls
-        ]
 
     async def call(
         self,
@@ -326,9 +357,10 @@
         body = b'' if document is None else json.dumps(document).encode()
         ends_at = time.monotonic() + limit_s
         wait_s = 0.1
-        turn = random.randrange(len(self._addresses))
+        turn = random.randrange(len(self._fleet.controls))
         while time.monotonic() < ends_at:
-            address = self._addresses[turn % len(self._addresses)]
+            controls = self._fleet.controls
+            address = controls[turn % len(controls)].address('control')
             answer = await self.call(address, method, path, body, note)
             if answer is not None and answer.status in {
                 200, 400, 404, 409, 412, 413, 422,
@@ -339,6 +371,16 @@
             wait_s = min(wait_s * 2, 1)
         return None
 
+    async def find_leader(self) -> Machine:
+        """Return the control process that the others redirect to."""
+        for machine in self._fleet.controls:
+            answer = await http.fetch(
+                machine.address('control'), 'GET', '/-/config'
+            )
+            if answer is not None and answer.status == 200:
+                return machine
+        raise Impossible('no control process answers a read')
+
     async def configure(
         self, config: dict[str, typing.Any], limit_s: float = 20
     ) -> int:
