--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,9 +6,8 @@
 import signal
 import time
 
-from review.stand_ins import case
+from review.stand_ins import case, target
 from review.stand_ins import fleet as fleets
-from review.stand_ins import target
 
 ROUTES = (('browse', 'idempotent', 'booking'),)
 # The new machine runs for this long before the old one gets SIGTERM.
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,9 +6,8 @@
 import pathlib
 import time
 
-from review.stand_ins import case
+from review.stand_ins import case, http, target
 from review.stand_ins import fleet as fleets
-from review.stand_ins import http, target
 
 ROUTES = (
     ('browse', 'idempotent', 'booking'),
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,9 +3,8 @@
 import asyncio
 import pathlib
 
-from review.stand_ins import case
+from review.stand_ins import case, http, target
 from review.stand_ins import fleet as fleets
-from review.stand_ins import http, target
 
 ROUTES = (('browse', 'idempotent', 'booking'),)
 CRASHING = '/browse/crash'
@@ -85,9 +84,7 @@
         await asyncio.sleep(0.05)
 
 
-async def run_steps(
-    fleet: fleets.Fleet, targets: list[CrashingTarget]
-) -> bool:
+async def run_steps(fleet: fleets.Fleet, targets: list[CrashingTarget]) -> bool:
     """Return whether the request was kept from the targets in time."""
     record = fleet.record
     operator = fleets.Operator(fleet)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,13 +3,13 @@
 import asyncio
 import pathlib
 
-from review.stand_ins import case
+from review.stand_ins import case, target
 from review.stand_ins import fleet as fleets
-from review.stand_ins import target
 
 ROUTES = (('browse', 'idempotent', 'booking'),)
-# How far the clock of one machine jumps back.
+# How far the clock of one machine jumps back, and for how long.
 STEP_MS = 2000
+STEP_S = 5.0
 # Time from the end of the target's first process to the start of its second.
 DOWN_S = 1.0
 
@@ -48,7 +48,11 @@
     if has_trouble:
         again.born -= STEP_MS
     await again.start()
-    # The machines are in touch again, whatever the jump meant for them.
+    # The clock has jumped forward again, and the machines are in touch, when
+    # the target begins to drain. What it states as its start stays the same.
+    await send_requests(fleet, STEP_S - DOWN_S)
+    if has_trouble:
+        record.write(f'the time of day of sidecar 0 jumps by {STEP_MS} ms')
     await send_requests(fleet, fleets.BOUNDS['stabilityS'] + 1)
     if not again.runs:
         raise fleets.Impossible('the target gets no requests')
@@ -56,9 +60,7 @@
     record.write('the target was told that its draining is acknowledged')
     await send_requests(fleet, fleets.BOUNDS['drainS'] + 4)
     late = [
-        run
-        for run in again.runs
-        if run.at > acked_at + fleets.BOUNDS['drainS']
+        run for run in again.runs if run.at > acked_at + fleets.BOUNDS['drainS']
     ]
     record.write(
         f'{len(late)} requests reached the target later than drainS '
--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import typing
 from collections import abc
@@ -23,12 +24,15 @@
 
     The case gets whether to make the disruption.
     """
+    # Lets the case end its processes if it is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = fleets.Record(str(pathlib.Path(folder).resolve()))
     record.write(f'disruption: {"yes" if has_trouble else "no"}')
     try:
         held = asyncio.run(_limit(case(record, has_trouble), limit_s))
-    except (fleets.Impossible, OSError, TimeoutError) as error:
+    except Exception as error:
+        # Any fault of the case itself must not look like a broken rule.
         record.write(f'could not run: {error!r}')
         sys.stdout.write(f'could not run: {error!r}\n')
         sys.exit(NOT_RUN)
--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -244,7 +244,9 @@
 
     def has_ended(self, machine: Machine) -> bool:
         """Return whether the process of a machine has ended."""
-        return machine.process is not None and machine.process.poll() is not None
+        return (
+            machine.process is not None and machine.process.poll() is not None
+        )
 
     def read_log(self, machine: Machine) -> str:
         """Return what the processes of a machine have logged."""
@@ -363,7 +365,13 @@
             address = controls[turn % len(controls)].address('control')
             answer = await self.call(address, method, path, body, note)
             if answer is not None and answer.status in {
-                200, 400, 404, 409, 412, 413, 422,
+                200,
+                400,
+                404,
+                409,
+                412,
+                413,
+                422,
             }:
                 return answer
             turn += 1
@@ -428,5 +436,7 @@
         deadline_ms / 1000,
     )
     status = answer.status if answer else 'no answer'
-    fleet.record.write(f'consumer {attempt} {method} {path} at {node.name}: {status}')
+    fleet.record.write(
+        f'consumer {attempt} {method} {path} at {node.name}: {status}'
+    )
     return attempt, answer
