--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import signal
+import sys
 import time
 
 from review.stand_ins import case, target
@@ -102,4 +103,4 @@
 
 
 if __name__ == '__main__':
-    case.run(str(pathlib.Path(__file__).parent), run)
+    case.run(str(pathlib.Path(__file__).parent), run, sys.argv[1:] != ['0'])
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 import copy
 import json
 import pathlib
+import sys
 import time
 
 from review.stand_ins import case, http, target
@@ -89,4 +90,4 @@
 
 
 if __name__ == '__main__':
-    case.run(str(pathlib.Path(__file__).parent), run)
+    case.run(str(pathlib.Path(__file__).parent), run, sys.argv[1:] != ['0'])
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import sys
 
 from review.stand_ins import case, target
 from review.stand_ins import fleet as fleets
@@ -89,4 +90,4 @@
 
 
 if __name__ == '__main__':
-    case.run(str(pathlib.Path(__file__).parent), run)
+    case.run(str(pathlib.Path(__file__).parent), run, sys.argv[1:] != ['0'])
--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -1,7 +1,6 @@
 """Running of a case: its exit status and the end of its processes."""
 
 import asyncio
-import os
 import pathlib
 import signal
 import sys
@@ -19,14 +18,15 @@
 ]
 
 
-def run(folder: str, case: Case, limit_s: float = 100) -> typing.NoReturn:
+def run(
+    folder: str, case: Case, has_trouble: bool, limit_s: float = 100
+) -> typing.NoReturn:
     """Run a case, which returns whether the rule held, and exit.
 
-    The case gets whether to make the disruption.
+    The case gets `has_trouble`, whether to make the disruption.
     """
     # Lets the case end its processes if it is stopped from outside.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record = fleets.Record(str(pathlib.Path(folder).resolve()))
     record.write(f'disruption: {"yes" if has_trouble else "no"}')
     try:
