Hold what all HTTP ports hold for clients in one account

Clients saw: 64 connections that each sent a body of 4 MiB but its last byte to the admin port of a node or of a control process took the process 332 MB (machines have 200 to 300), and 500 idle ones took every descriptor, so that callers got no answer.

Cause: operators, upstreams and scrapers were served on tornado's own connections, which bound each body (8 MiB) but not all of them together, know no limit of connections and parse a crowd's chunks in one go. Only the ports for calls counted what they hold.

Change: a process has one `capacity.Capacity` with the memory, the turns of parsing and the log lines of all its ports. `http_server.HttpServer` has the connections of one HTTP port; the admin ports use it, too, and a `web_exchange` runs tornado's routing and handlers for each complete request. A refusal is 503 as not run, and the largest request that still arrives gives way, whatever port it came by. Log lines `client_gave_way` name the port, what was held and how many others gave way.

--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -5,12 +5,26 @@
 import typing
 from collections import abc
 
-from tornado import httpserver, netutil, web
-
-from shallotwharf.core import errors, logs, records, schema
+from tornado import httputil, web
+
+from shallotwharf.adapters import (
+    capacity,
+    handling,
+    http_server,
+    limits,
+    pipeline,
+    web_exchange,
+)
+from shallotwharf.core import counters, errors, logs, records, schema
 
 MAX_BODY_BYTES: typing.Final = 8 * 1024 * 1024
+# No page bounds what operators and scrapers send, or how long they are idle:
+# these limits are those that tornado has for its own connections.
+_MAX_HEAD_BYTES: typing.Final = 65_536
+_HEAD_SECONDS: typing.Final = 3600.0
+_IDLE_SECONDS: typing.Final = 3600.0
 _CLOSE_TIMEOUT_SECONDS: typing.Final = 0.1
+_CLOSE_POLL_SECONDS: typing.Final = 0.01
 _JSON_TYPE: typing.Final = 'application/json'
 _TEXT_TYPE: typing.Final = 'text/plain; version=0.0.4'
 _HTTP_BAD_REQUEST: typing.Final = 400
@@ -125,26 +139,47 @@
         self.finish(json.dumps(reply.document))
 
 
-class WebServer:
+class WebServer(http_server.HttpServer):
     """HTTP server with tornado's routing rules at one address."""
 
-    __slots__ = ('_address', '_server')
+    __slots__ = ('_address', '_application')
 
     def __init__(
         self,
         address: tuple[str, int],
         rules: abc.Sequence[typing.Any],
+        shared_capacity: capacity.Capacity | None = None,
+        port_name: str = 'admin',
     ) -> None:
         """Create a server; it does not listen yet.
 
         Args:
             address: IP address and port.
             rules: tornado's routing rules.
+            shared_capacity: what the process holds for clients; None if the
+                server is the only one.
+            port_name: name of the port in log lines.
         """
+        super().__init__(
+            shared_capacity or capacity.Capacity(counters.Counters()),
+            port_name,
+            _build_limits(),
+            is_public=True,
+        )
         self._address = address
-        self._server = httpserver.HTTPServer(
-            web.Application(list(rules), log_function=_ignore_request),
-            max_body_size=MAX_BODY_BYTES,
+        self._application = web.Application(
+            list(rules), log_function=_ignore_request
+        )
+
+    def make_exchange(
+        self,
+        slot: pipeline.Slot,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> handling.Handling:
+        """Return an exchange that runs the handler of the request."""
+        return web_exchange.WebExchange(
+            self._application, slot, request_headers, body
         )
 
     def listen(self) -> None:
@@ -153,16 +188,7 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        host, port = self._address
-        try:
-            sockets = netutil.bind_sockets(port, host)
-        except OSError as error:
-            raise errors.LinkError(
-                f'cannot listen: {error.strerror}',
-                'admin.listen',
-                f'{host}:{port}',
-            ) from error
-        self._server.add_sockets(sockets)
+        self._open(*self._address)
 
     async def async_close(self) -> None:
         """Stop listening and close all connections within a short timeout.
@@ -170,9 +196,14 @@
         A command that waits for an election must not delay the shutdown of
         the process.
         """
-        self._server.stop()
-        closing = asyncio.ensure_future(self._server.close_all_connections())
-        await asyncio.wait((closing,), timeout=_CLOSE_TIMEOUT_SECONDS)
+        self._stop_listening()
+        for connection in list(self._connections):
+            connection.close()
+        end = self.capacity.loop.time() + _CLOSE_TIMEOUT_SECONDS
+        while self._connections and self.capacity.loop.time() < end:
+            await asyncio.sleep(_CLOSE_POLL_SECONDS)
+        for left in list(self._connections):
+            left.abort()
 
 
 class AdminServer(WebServer):
@@ -186,6 +217,7 @@
         port: int,
         table: AdminTable,
         rules: abc.Sequence[typing.Any] = (),
+        shared_capacity: capacity.Capacity | None = None,
     ) -> None:
         """Create a server; it does not listen yet.
 
@@ -194,10 +226,13 @@
             port: port.
             table: handlers by method and path.
             rules: tornado's routing rules, which precede the table.
+            shared_capacity: what the process holds for clients; None if the
+                server is the only one.
         """
         super().__init__(
             (host, port),
             [*rules, ('.*', _Handler, {'table': table})],
+            shared_capacity,
         )
 
 
@@ -216,3 +251,11 @@
 
 def _ignore_request(_handler: web.RequestHandler) -> None:
     """Suppress the request log, because counters cover the requests."""
+
+
+def _build_limits() -> limits.ServerLimits:
+    built = limits.ServerLimits(MAX_BODY_BYTES, is_public=True)
+    built.head_bytes = _MAX_HEAD_BYTES
+    built.head_seconds = _HEAD_SECONDS
+    built.idle_seconds = _IDLE_SECONDS
+    return built
--- a/shallotwharf/adapters/arrival.py
+++ b/shallotwharf/adapters/arrival.py
@@ -8,15 +8,15 @@
 from tornado import httputil
 
 from shallotwharf.adapters import (
+    capacity,
     crowd,
+    handling,
     headers,
     intake,
     limits,
     message_memory,
     pipeline,
     refusals,
-    services,
-    slicer,
     turns,
     wire,
     writer,
@@ -35,23 +35,38 @@
     """Server of the connections.
 
     Attributes:
-        services: dependencies shared by all exchanges.
+        capacity: what the process holds for the clients of all ports.
+        port_name: name of the port in log lines.
         limits: limits of what callers may send.
         closing: whether the server is about to close its connections.
         is_public: whether only callers connect.
-        slicer: lets the connections parse by turns.
         turns: starts the requests of backlogs.
     """
 
     __slots__ = ()
 
-    services: services.Services
+    capacity: capacity.Capacity
+    port_name: str
     limits: limits.ServerLimits
     closing: bool
     is_public: bool
-    slicer: slicer.Slicer
     turns: turns.Turns
 
+    @abc.abstractmethod
+    def make_exchange(
+        self,
+        slot: pipeline.Slot,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> handling.Handling:
+        """Return the handling of a complete request; it is not started.
+
+        Args:
+            slot: start line of the request, and receiver of the response.
+            request_headers: headers of the request.
+            body: body of the request.
+        """
+
     @abc.abstractmethod
     def add(self, connection: 'Arrival') -> None:
         """Add an open connection."""
@@ -91,7 +106,7 @@
         self._writer: writer.MessageWriter | None = None
         self._start_line = NO_START_LINE
         self._headers = NO_HEADERS
-        self._pipeline = pipeline.Pipeline(server.services.memory)
+        self._pipeline = pipeline.Pipeline(server.capacity.memory)
         self._close_after = False
         self._lingering = False
         # Whether the request that arrives waits for 100 Continue, which must
@@ -101,7 +116,7 @@
         # an earlier one.
         self._is_ahead = False
         self._intake: intake.Intake | None = None
-        self._opened_at = server.services.loop.time()
+        self._opened_at = server.capacity.loop.time()
         # What the arriving request takes of the memory of the process.
         self._held = self._make_hold()
         # Stated length of the arriving body; 0 if it is not stated.
@@ -167,7 +182,7 @@
 
     def _make_hold(self) -> message_memory.Hold:
         return message_memory.Hold(
-            self._server.services.memory,
+            self._server.capacity.memory,
             self._give_way,
         )
 
@@ -225,7 +240,7 @@
         if message_writer.is_immediate(body):
             message_writer.write(head, body, self._mark_idle)
             return
-        memory = self._server.services.memory
+        memory = self._server.capacity.memory
         memory.hold(len(body))
         message_writer.write(
             head, body, functools.partial(self._end_writing, len(body))
@@ -233,11 +248,11 @@
 
     def _end_writing(self, size: int) -> None:
         self._mark_idle()
-        self._server.services.memory.hold(-size)
+        self._server.capacity.memory.hold(-size)
 
     def _mark_idle(self) -> None:
         # A caller may take long to read a response, then reuse the connection.
-        self.idle_since = self._server.services.loop.time()
+        self.idle_since = self._server.capacity.loop.time()
 
     def _find_writer(self) -> writer.MessageWriter:
         return typing.cast(writer.MessageWriter, self._writer)
--- a/shallotwharf/adapters/caller.py
+++ b/shallotwharf/adapters/caller.py
@@ -8,7 +8,6 @@
 
 from shallotwharf.adapters import (
     arrival,
-    exchange,
     headers,
     intake,
     pipeline,
@@ -39,7 +38,7 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         self._writer = writer.MessageWriter(self._transport)
         self._intake = intake.Intake(
-            self._server.services.loop, self._transport
+            self._server.capacity.loop, self._transport
         )
         opened = transport.get_extra_info('socket')
         # Detects callers that disappeared without closing the connection.
@@ -50,7 +49,7 @@
         """Parse received bytes; pause reading if too many are buffered."""
         if self._lingering:
             return
-        self.idle_since = self._server.services.loop.time()
+        self.idle_since = self._server.capacity.loop.time()
         self._is_ahead = self._is_ahead or len(self._pipeline) > 0
         self._read(received)
         self._go_on()
@@ -82,13 +81,7 @@
             headers.strip_internal_headers(self._headers)
         self._held.resize(max(self._reader.message_memory, len(body)))
         slot = self._make_slot()
-        slot.exchange = exchange.Exchange(
-            self._server.services,
-            slot,
-            self._start_line,
-            self._headers,
-            body,
-        )
+        slot.exchange = self._server.make_exchange(slot, self._headers, body)
         has_more = self._reader.count_buffered() > 0
         slot.has_backlog = self._is_ahead or has_more
         self._is_ahead = has_more
@@ -111,6 +104,11 @@
             ready = self._pipeline.take_next()
         self._proceed()
 
+    def find_peer(self) -> str:
+        """Return the IP address of the client; empty if it is not known."""
+        peer = self._find_transport().get_extra_info('peername')
+        return str(peer[0]) if peer else ''
+
     def resume_writing(self) -> None:
         """Write the rest of the responses; then read on."""
         self._find_writer().resume()
@@ -144,7 +142,7 @@
         for slot in self._pipeline.list_running():
             running = slot.exchange
             if running is not None:
-                self._server.services.counters.add('inbound.cut')
+                self._server.capacity.counters.add('inbound.cut')
                 running.report_cut(self._opened_at)
                 running.expire()
         self.close()
@@ -187,7 +185,7 @@
         self._pipeline.start_next()
         if not self._reader.is_empty():
             # Deferred, because this method may be called within `feed`.
-            self._server.services.loop.call_soon(self._read_next)
+            self._server.capacity.loop.call_soon(self._read_next)
         elif not len(self._pipeline):
             self._read(b'', resumed=True)
 
@@ -217,7 +215,7 @@
             self._refuse(refusals.NO_MEMORY)
         elif self._reader.is_pending():
             self._find_intake().pause()
-            self._server.slicer.add(self.read_rest)
+            self._server.capacity.slicer.add(self.read_rest)
         else:
             self._watch_request()
 
@@ -246,7 +244,9 @@
 
     def _refuse(self, step: calls.Respond) -> None:
         """Answer an incomplete request after those before it, then close."""
-        self._server.services.counters.add(f'inbound.{step.reason}')
+        self._server.capacity.report(
+            self._server.port_name, step.reason, self._held.size
+        )
         self._find_intake().stop_timer()
         self._reader.stop()
         self._close_after = True
@@ -267,7 +267,7 @@
         self._body_bytes = 0
         return pipeline.Slot(
             self,
-            self._server.services.memory,
+            self._server.capacity.memory,
             self._start_line,
             self._close_after,
             held,
--- /dev/null
+++ b/shallotwharf/adapters/capacity.py
@@ -0,0 +1,49 @@
+"""What a process holds for its clients, whatever port they use."""
+
+import asyncio
+
+from shallotwharf.adapters import message_memory, notices, slicer
+from shallotwharf.core import clock, counters
+
+
+class Capacity:
+    """Memory and parsing time that all ports of a process share.
+
+    One account decides who gives way, so that a crowd at one port neither adds
+    to what another port may hold nor takes what others need there.
+
+    Attributes:
+        loop: event loop of the process.
+        counters: counters of the process.
+        memory: bytes of requests and messages that arrive or are handled, and
+            of responses to be written.
+        slicer: lets the connections parse by turns.
+        notices: log lines about clients that gave way.
+    """
+
+    __slots__ = (
+        'loop',
+        'counters',
+        'memory',
+        'slicer',
+        'notices',
+    )
+
+    def __init__(self, process_counters: counters.Counters) -> None:
+        """Hold nothing; must be called on the loop."""
+        self.loop = asyncio.get_running_loop()
+        self.counters = process_counters
+        self.memory = message_memory.RequestMemory()
+        self.slicer = slicer.Slicer()
+        self.notices = notices.Notices(clock.SystemClock())
+
+    def report(self, port: str, reason: str, held_bytes: int = 0) -> None:
+        """Count and log a client that was refused or closed.
+
+        Args:
+            port: name of the port that the client uses.
+            reason: name of the counter below `inbound`.
+            held_bytes: memory that the client held.
+        """
+        self.counters.add(f'inbound.{reason}')
+        self.notices.write(port, reason, held_bytes)
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -10,6 +10,7 @@
 from shallotwharf.adapters import (
     connection,
     fields,
+    handling,
     header_format,
     headers,
     responses,
@@ -21,7 +22,7 @@
 _SECOND_US: typing.Final = 1_000_000
 
 
-class Exchange:
+class Exchange(handling.Handling):
     """Handling of a complete request until its response is written."""
 
     __slots__ = (
--- a/shallotwharf/adapters/inbound.py
+++ b/shallotwharf/adapters/inbound.py
@@ -3,41 +3,28 @@
 import asyncio
 import typing
 
+from tornado import httputil
+
 from shallotwharf.adapters import (
-    arrival,
-    caller,
-    crowd,
+    exchange,
+    handling,
+    http_server,
     limits,
-    listener,
+    pipeline,
     services,
-    slicer,
-    turns,
 )
 
 DEFAULT_MAX_BODY_BYTES: typing.Final = 4_194_304
-# Idle connections are closed up to this much late.
-_SWEEP_SECONDS: typing.Final = 0.5
 _CLOSE_POLL_SECONDS: typing.Final = 0.02
 # Polls without a running exchange before kept connections are closed: a request
 # may be on its way through the buffers of the connection.
 _QUIET_POLLS: typing.Final = 3
 
 
-class CallServer(arrival.Owner):
+class CallServer(http_server.HttpServer):
     """Server that starts an exchange for each request."""
 
-    __slots__ = (
-        'services',
-        'limits',
-        'closing',
-        'is_public',
-        'slicer',
-        'turns',
-        '_connections',
-        '_crowd',
-        '_sweeping',
-        '_listener',
-    )
+    __slots__ = ('services',)
 
     def __init__(
         self,
@@ -54,16 +41,24 @@
             is_public: whether only callers connect, so that the headers that
                 only nodes may exchange are removed.
         """
+        super().__init__(
+            shared.capacity,
+            'callers' if is_public else 'calls',
+            limits.ServerLimits(max_body_bytes, is_public=is_public),
+            is_public,
+        )
         self.services = shared
-        self.limits = limits.ServerLimits(max_body_bytes, is_public=is_public)
-        self.closing = False
-        self.is_public = is_public
-        self.slicer = slicer.Slicer()
-        self.turns = turns.Turns()
-        self._connections: set[arrival.Arrival] = set()
-        self._crowd = crowd.Crowd(self.limits, shared.counters, shared.memory)
-        self._sweeping: asyncio.TimerHandle | None = None
-        self._listener: listener.Listener | None = None
+
+    def make_exchange(
+        self,
+        slot: pipeline.Slot,
+        request_headers: httputil.HTTPHeaders,
+        body: bytes,
+    ) -> handling.Handling:
+        """Return the exchange of a call."""
+        return exchange.Exchange(
+            self.services, slot, slot.start_line, request_headers, body
+        )
 
     async def async_listen(self, host: str, port: int) -> int:
         """Listen on an IP address; return the port.
@@ -71,11 +66,7 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        self._listener = listener.Listener(
-            lambda: caller.CallConnection(self), host, port
-        )
-        self._sweep()
-        return self._listener.find_port()
+        return self._open(host, port)
 
     async def async_wait_until_quiet(self, limit_seconds: float) -> None:
         """Wait until no exchange runs and no request seems to be on its way.
@@ -98,11 +89,7 @@
         responses were written; the others end as if their deadlines had
         passed.
         """
-        self.closing = True
-        if self._listener is not None:
-            self._listener.close()
-        if self._sweeping is not None:
-            self._sweeping.cancel()
+        self._stop_listening()
         loop = asyncio.get_running_loop()
         end = loop.time() + limit_seconds
         await self.async_wait_until_quiet(limit_seconds)
@@ -113,18 +100,3 @@
         while self._connections and loop.time() < end:
             await asyncio.sleep(_CLOSE_POLL_SECONDS)
         return finished and not self._connections
-
-    def add(self, connection: arrival.Arrival) -> None:
-        """Add an open connection."""
-        self._connections.add(connection)
-        self._crowd.add(connection)
-
-    def remove(self, connection: arrival.Arrival) -> None:
-        """Remove a connection that ended."""
-        self._connections.discard(connection)
-        self._crowd.remove(connection)
-
-    def _sweep(self) -> None:
-        loop = self.services.loop
-        self._crowd.sweep(loop.time())
-        self._sweeping = loop.call_later(_SWEEP_SECONDS, self._sweep)
--- a/shallotwharf/adapters/pipeline.py
+++ b/shallotwharf/adapters/pipeline.py
@@ -7,7 +7,7 @@
 from tornado import httputil
 
 from shallotwharf.adapters import (
-    exchange,
+    handling,
     message_memory,
     refusals,
     responses,
@@ -34,6 +34,10 @@
     def complete(self, slot: 'Slot') -> None:
         """Handle a slot whose response is known."""
 
+    @abc.abstractmethod
+    def find_peer(self) -> str:
+        """Return the IP address of the client; empty if it is not known."""
+
 
 class Slot(services.Responder, turns.Candidate):
     """A request and, once it is known, its response.
@@ -84,7 +88,7 @@
         """
         self.start_line = start_line
         self.closes = closes
-        self.exchange: exchange.Exchange | None = None
+        self.exchange: handling.Handling | None = None
         self.response: responses.Response | None = None
         self.is_started = False
         self.has_backlog = False
@@ -101,6 +105,10 @@
         """Return the bytes of the response that are held."""
         return 0 if self._response_hold is None else self._response_hold.size
 
+    def find_peer(self) -> str:
+        """Return the IP address of the client; empty if it is not known."""
+        return self._owner.find_peer()
+
     def start(self) -> None:
         """Start the exchange."""
         self.is_started = True
--- a/shallotwharf/adapters/services.py
+++ b/shallotwharf/adapters/services.py
@@ -4,6 +4,7 @@
 import asyncio
 
 from shallotwharf.adapters import (
+    capacity,
     header_format,
     message_memory,
     outbound,
@@ -18,7 +19,7 @@
 
     Attributes:
         active: number of exchanges in progress.
-        memory: bytes of requests, and of responses to be written.
+        capacity: what the process holds for the clients of all ports.
     """
 
     __slots__ = (
@@ -32,7 +33,7 @@
         'header_format',
         'loop',
         'active',
-        'memory',
+        'capacity',
     )
 
     def __init__(
@@ -45,6 +46,7 @@
         sender: outbound.Outbound,
         process_counters: counters.Counters,
         chosen_format: header_format.HeaderFormat,
+        shared_capacity: capacity.Capacity,
     ) -> None:
         self.clock = process_clock
         self.call_planner = call_planner
@@ -56,7 +58,12 @@
         self.header_format = chosen_format
         self.loop = asyncio.get_running_loop()
         self.active = 0
-        self.memory = message_memory.RequestMemory()
+        self.capacity = shared_capacity
+
+    @property
+    def memory(self) -> message_memory.RequestMemory:
+        """Return the memory of requests, and of responses to be written."""
+        return self.capacity.memory
 
 
 class Responder(abc.ABC):
--- a/shallotwharf/platform/operators.py
+++ b/shallotwharf/platform/operators.py
@@ -226,6 +226,7 @@
         address: tuple[str, int],
         known: sites.Sites = sites.UNKNOWN,
     ) -> None:
+        super().__init__()
         self._address = address
         self._known = known
         self._server: admin.WebServer | None = None
@@ -247,6 +248,7 @@
                     {'render': control.render_counters},
                 ),
             ],
+            self.capacity,
         )
         self._server.listen()
 
--- a/shallotwharf/platform/upstreams.py
+++ b/shallotwharf/platform/upstreams.py
@@ -89,6 +89,7 @@
     __slots__ = ('_ports', '_servers')
 
     def __init__(self, ports: settings.NodePorts) -> None:
+        super().__init__()
         self._ports = ports
         self._servers: list[admin.WebServer] = []
 
@@ -109,6 +110,8 @@
             admin.WebServer(
                 self._ports.reports,
                 [('/-/instances/([^/]+)', InstanceHandler, reports)],
+                self.capacity,
+                'reports',
             ),
             admin.WebServer(
                 self._ports.readiness,
@@ -116,6 +119,8 @@
                     ('/-/readiness', ReadinessHandler, readiness_arguments),
                     ('/metrics', admin.MetricsHandler, metrics_arguments),
                 ],
+                self.capacity,
+                'readiness',
             ),
         ]
         for server in self._servers:
--- a/shallotwharf/roles/callpath.py
+++ b/shallotwharf/roles/callpath.py
@@ -4,7 +4,13 @@
 import typing
 from collections import abc
 
-from shallotwharf.adapters import header_format, outbound, services, waiting
+from shallotwharf.adapters import (
+    capacity,
+    header_format,
+    outbound,
+    services,
+    waiting,
+)
 from shallotwharf.components.call import router
 from shallotwharf.components.once import messages as once
 from shallotwharf.components.quota import limiter
@@ -300,6 +306,7 @@
     process_counters: counters.Counters,
     chosen_format: header_format.HeaderFormat | None = None,
     sender: outbound.Outbound | None = None,
+    shared_capacity: capacity.Capacity | None = None,
 ) -> services.Services:
     """Return the services of the call server; must be called on the loop.
 
@@ -318,4 +325,5 @@
         sender or outbound.Outbound(process_counters),
         process_counters,
         chosen_format or header_format.StandardHeaderFormat(),
+        shared_capacity or capacity.Capacity(process_counters),
     )
--- a/shallotwharf/roles/control/process.py
+++ b/shallotwharf/roles/control/process.py
@@ -43,6 +43,7 @@
             local_peer.host,
             local_peer.admin_port,
             api.ControlApi(settings, self._runtime, self._aggregates).table,
+            shared_capacity=self._runtime.capacity,
         )
 
     async def async_start(self) -> None:
--- a/shallotwharf/roles/control/seeded.py
+++ b/shallotwharf/roles/control/seeded.py
@@ -5,7 +5,7 @@
 import typing
 import uuid
 
-from shallotwharf.adapters import disk, folder
+from shallotwharf.adapters import capacity, disk, folder
 from shallotwharf.components.delivery import feed
 from shallotwharf.components.delivery import messages as delivery
 from shallotwharf.components.ledger import ledger
@@ -23,9 +23,17 @@
 
 
 class FrontEnd(abc.ABC):
-    """Interface to operators."""
+    """Interface to operators.
 
-    __slots__ = ()
+    Attributes:
+        capacity: what the process holds for its clients, set before `listen`;
+            None if the front end is the only one.
+    """
+
+    __slots__ = ('capacity',)
+
+    def __init__(self) -> None:
+        self.capacity: capacity.Capacity | None = None
 
     @abc.abstractmethod
     def listen(self, served: operations.Operations) -> None:
@@ -91,6 +99,7 @@
     async def async_start(self) -> None:
         """Accept requests from operators and start to search for peers."""
         addresses.set_seeds(self._runtime.links, self._settings.seeds)
+        self._front_end.capacity = self._runtime.capacity
         self._front_end.listen(self._served)
         await self._runtime.async_start(*self._aggregates.list_all())
         logs.write(
--- a/shallotwharf/roles/node/process.py
+++ b/shallotwharf/roles/node/process.py
@@ -40,7 +40,7 @@
         self._aggregates = _build_aggregates(settings, self._runtime)
         self._services = _build_services(self._runtime, self._aggregates)
         if settings.request_memory_bytes:
-            memory = self._services.memory
+            memory = self._runtime.capacity.memory
             memory.limit_bytes = settings.request_memory_bytes
         self._server = inbound.CallServer(self._services)
         if settings.max_connections:
@@ -54,6 +54,7 @@
                     self._runtime.dispatcher, self._aggregates.gate
                 ),
             ),
+            self._runtime.capacity,
         )
 
     async def async_start(self) -> None:
@@ -160,6 +161,7 @@
         runtime.requests,
         runtime.clock,
         runtime.counters,
+        shared_capacity=runtime.capacity,
     )
 
 
--- a/shallotwharf/roles/node/seeded.py
+++ b/shallotwharf/roles/node/seeded.py
@@ -5,6 +5,7 @@
 import typing
 
 from shallotwharf.adapters import (
+    capacity,
     header_format,
     health_probe,
     inbound,
@@ -61,9 +62,17 @@
 
 
 class FrontEnd(abc.ABC):
-    """Interface to the platform and to the upstream beside the node."""
+    """Interface to the platform and to the upstream beside the node.
 
-    __slots__ = ()
+    Attributes:
+        capacity: what the process holds for its clients, set before `listen`;
+            None if the front end is the only one.
+    """
+
+    __slots__ = ('capacity',)
+
+    def __init__(self) -> None:
+        self.capacity: capacity.Capacity | None = None
 
     @abc.abstractmethod
     def listen(
@@ -135,6 +144,7 @@
         settings = self._settings
         control_addresses.set_seeds(self._runtime.links, settings.seeds)
         dispatcher = self._runtime.dispatcher
+        self._front_end.capacity = self._runtime.capacity
         self._front_end.listen(
             self, callpath.DispatchedRegistry(dispatcher, self._path.gate)
         )
@@ -294,4 +304,5 @@
                 runtime.counters,
                 idle_limit_seconds=IDLE_LIMIT_SECONDS,
             ),
+            runtime.capacity,
         )
--- a/shallotwharf/roles/process.py
+++ b/shallotwharf/roles/process.py
@@ -6,7 +6,7 @@
 import signal
 from collections import abc as collections_abc
 
-from shallotwharf.adapters import links, timers, waiting
+from shallotwharf.adapters import capacity, links, timers, waiting
 from shallotwharf.core import (
     aggregate,
     clock,
@@ -26,6 +26,7 @@
         'clock',
         'random',
         'counters',
+        'capacity',
         'links',
         'timers',
         'requests',
@@ -42,6 +43,7 @@
         self.clock: clock.Clock = clock.SystemClock()
         self.random: random.Random = random.SystemRandom()
         self.counters = counters.Counters()
+        self.capacity = capacity.Capacity(self.counters)
         self.links = links.WebsocketLinks(
             name,
             location,
--- /dev/null
+++ b/tests/processes/test_crowded_ports.py
@@ -0,0 +1,68 @@
+"""Guards against clients of any port that take a process from the others.
+
+The crowd and the bounds are fixed: a change of the product must not touch them.
+Each test runs alone and checks nothing that depends on the machine's speed.
+"""
+
+import pytest
+
+from measurements import site as processes
+from tests.processes import crowds
+
+CROWD = 64
+BODY = crowds.write_body(4 * crowds.MEBIBYTE)
+DESCRIPTOR_LIMIT = 400
+IDLE_CROWD = 500
+PORTS = [
+    ('n1', 'call'),
+    ('n1', 'admin'),
+    ('control-0', 'admin'),
+]
+
+
+@pytest.fixture
+def site(tmp_path):
+    with crowds.run_site(tmp_path) as started:
+        yield started
+
+
+def check_served(site):
+    """Check that callers and operators get responses."""
+    assert crowds.call(site) == 200
+    for name in ('n1', 'control-0'):
+        port = crowds.find_port(site, name, 'admin')
+        assert processes.request(port, '/health')[0] == 200, name
+
+
+@pytest.mark.parametrize(('process', 'kind'), PORTS)
+@pytest.mark.parametrize(
+    'text',
+    [crowds.LINES, BODY, crowds.CHUNKS, crowds.BYTES],
+    ids=['lines', 'bodies', 'chunks', 'bytes'],
+)
+def test_crowd_leaves_memory_for_others(site, process, kind, text):
+    crowded = crowds.Process(site, process)
+    crowd = crowds.connect_many(crowds.find_port(site, process, kind), CROWD)
+    crowds.send_all(dict.fromkeys(crowd, text))
+    check_served(site)
+    crowded.check(growth_bytes=crowds.MACHINE_BYTES - crowded.memory)
+
+
+@pytest.mark.parametrize('kind', ['call', 'admin'])
+def test_low_limit_of_a_node_holds_at_each_port(site, kind):
+    crowded = crowds.Process(site, 'n1')
+    crowd = crowds.connect_many(crowds.find_port(site, 'n1', kind), CROWD)
+    crowds.send_all(dict.fromkeys(crowd, BODY))
+    check_served(site)
+    crowded.check()
+
+
+@pytest.mark.parametrize(('process', 'kind'), PORTS)
+def test_open_connections_leave_descriptors_for_others(tmp_path, process, kind):
+    with crowds.run_site(tmp_path, descriptor_limit=DESCRIPTOR_LIMIT) as site:
+        crowded = crowds.Process(site, process)
+        port = crowds.find_port(site, process, kind)
+        crowds.connect_many(port, IDLE_CROWD)
+        check_served(site)
+        assert crowded.count_descriptors() < DESCRIPTOR_LIMIT
+        crowded.check()
