Count what unfinished messages on links hold

Clients saw: 64 connections to the port for links, each with a WebSocket message of 4 MiB but its last byte, took a node or a control process 332 or 317 MB; 500 that opened a WebSocket and sent no message took all descriptors for as long as they stayed.

Cause: the library bounds each message, not all of them, and the wait for the first message of a connection had no time limit.

Change: `link_connection` counts what has arrived of a message in the memory that all ports share, so that the largest gives way. 64 KiB of a known peer are free: heartbeats must arrive while calls hold all memory. A connection without a first message counts as idle and is closed after 10 s, or earlier if there are too many. A message in fragments ends its connection; our processes send none, and a fragment of one byte takes some 200.

--- a/shallotwharf/adapters/link_peers.py
+++ b/shallotwharf/adapters/link_peers.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from websockets.asyncio import connection
-
+from shallotwharf.adapters import link_connection
 from shallotwharf.core import locations, messages
 
 
@@ -71,7 +70,7 @@
 
     def __init__(
         self,
-        opened: connection.Connection,
+        opened: link_connection.Link,
         reads_compressed: bool = False,
     ) -> None:
         self.socket = opened
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import socket
 import typing
 from collections import abc
@@ -15,7 +16,14 @@
 from websockets import exceptions
 from websockets.asyncio import client, connection, server
 
-from shallotwharf.adapters import codec, link_frames, link_peers, traffic
+from shallotwharf.adapters import (
+    capacity,
+    codec,
+    link_connection,
+    link_frames,
+    link_peers,
+    traffic,
+)
 from shallotwharf.core import (
     counters,
     endpoints,
@@ -54,11 +62,14 @@
         name: name of the process.
         location: where it runs and listens.
         process_counters: counters of the process.
+        shared_capacity: what the process holds for clients; None if links are
+            all that it has.
     """
 
     __slots__ = (
         '_hello',
         '_counters',
+        '_port',
         '_traffic',
         '_deliver',
         '_peers',
@@ -71,6 +82,7 @@
         name: str,
         location: locations.Location,
         process_counters: counters.Counters,
+        shared_capacity: capacity.Capacity | None = None,
     ) -> None:
         self._hello = link_peers.Hello(
             name,
@@ -82,6 +94,9 @@
             reads_compressed=True,
         )
         self._counters = process_counters
+        self._port = link_connection.LinkPort(
+            shared_capacity or capacity.Capacity(process_counters)
+        )
         self._traffic = traffic.Traffic(location, process_counters)
         self._deliver: Deliver | None = None
         self._peers: dict[str, link_peers.Peer] = {}
@@ -115,6 +130,10 @@
                 ping_interval=_PING_SECONDS,
                 ping_timeout=_PING_SECONDS,
                 close_timeout=_CLOSE_TIMEOUT_SECONDS,
+                create_connection=typing.cast(
+                    type[server.ServerConnection],
+                    functools.partial(link_connection.AcceptedLink, self._port),
+                ),
             )
         except OSError as error:
             raise errors.LinkError(
@@ -122,10 +141,12 @@
                 'links.listen',
                 f'{self._hello.host}:{self._hello.port}',
             ) from error
+        self._port.sweep()
 
     async def async_close(self) -> None:
         """Close all connections."""
         self._closing = True
+        self._port.stop()
         if self._server is not None:
             self._server.close()
         closing: list[asyncio.Future[None]] = []
@@ -230,6 +251,10 @@
                 ping_timeout=_PING_SECONDS,
                 close_timeout=_CLOSE_TIMEOUT_SECONDS,
                 proxy=None,
+                create_connection=typing.cast(
+                    type[client.ClientConnection],
+                    functools.partial(link_connection.OpenedLink, self._port),
+                ),
             )
             await opened.send(codec.encode(self._hello))
         except (OSError, TimeoutError, exceptions.WebSocketException):
@@ -239,34 +264,22 @@
                 _MAX_OPEN_TIMEOUT_SECONDS,
             )
             return
-        added = link_peers.Opened(opened)
+        added = link_peers.Opened(typing.cast(link_connection.Link, opened))
         self._add_connection(name, peer, added)
         asyncio.get_running_loop().create_task(
             self._async_read(name, peer, added),
         )
 
-    async def _async_accept(self, opened: server.ServerConnection) -> None:
+    async def _async_accept(self, accepted: server.ServerConnection) -> None:
+        opened = typing.cast(link_connection.AcceptedLink, accepted)
         peer_address = str(opened.remote_address)
         try:
-            hello = codec.decode(
-                await opened.recv(decode=False),
-                peer_address,
-            )
+            hello = await _async_receive_hello(opened, peer_address)
         except (errors.ProtocolError, exceptions.ConnectionClosed) as error:
             self._counters.add('links.refused')
             logs.warn('link_refused', peer=peer_address, error=error)
             return
-        if (
-            not isinstance(hello, link_peers.Hello)
-            or hello.protocol != PROTOCOL
-        ):
-            self._counters.add('links.refused')
-            logs.warn(
-                'link_refused',
-                peer=peer_address,
-                error=f'expected a hello of protocol {PROTOCOL}',
-            )
-            return
+        opened.arriving.recognize()
         peer = self._find_peer(hello.name)
         self.set_address(hello.name, hello.host, hello.port)
         peer.location = hello.read_location()
@@ -298,8 +311,11 @@
         opened: link_peers.Opened,
     ) -> None:
         try:
-            async for frame in opened.socket:
+            while True:
+                frame = await link_connection.async_receive(opened.socket, name)
                 self._receive(frame, name, opened)
+        except exceptions.ConnectionClosedOK:
+            return
         except (exceptions.ConnectionClosed, errors.ProtocolError) as error:
             logs.write('link_closed', peer=name, reason=error)
         finally:
@@ -343,6 +359,28 @@
             self._deliver(message, name)
 
 
+async def _async_receive_hello(
+    opened: link_connection.Link, peer_address: str
+) -> link_peers.Hello:
+    """Return the first message of a connection.
+
+    Raises:
+        ProtocolError: if it is no hello of this protocol.
+        ConnectionClosed: if the connection has ended.
+    """
+    encoded = await link_connection.async_receive(
+        opened, peer_address, decode=False
+    )
+    hello = codec.decode(typing.cast(bytes, encoded), peer_address)
+    if not isinstance(hello, link_peers.Hello) or hello.protocol != PROTOCOL:
+        raise errors.ProtocolError(
+            f'expected a hello of protocol {PROTOCOL}',
+            'links.accept',
+            peer_address,
+        )
+    return hello
+
+
 def _set_user_timeout(opened: connection.Connection) -> None:
     opened.transport.get_extra_info('socket').setsockopt(
         socket.IPPROTO_TCP,
--- a/shallotwharf/roles/process.py
+++ b/shallotwharf/roles/process.py
@@ -48,6 +48,7 @@
             name,
             location,
             self.counters,
+            self.capacity,
         )
         self.timers = timers.LoopTimers(self.clock)
         self.requests = waiting.WaitingRequests()
--- a/tests/processes/test_crowded_ports.py
+++ b/tests/processes/test_crowded_ports.py
@@ -13,10 +13,20 @@
 BODY = crowds.write_body(4 * crowds.MEBIBYTE)
 DESCRIPTOR_LIMIT = 400
 IDLE_CROWD = 500
+# First frame of a WebSocket connection: a binary message of 4 MiB, masked.
+FRAME = b'\x82\xff' + (4 * crowds.MEBIBYTE).to_bytes(8, 'big') + b'\0\0\0\0'
+HANDSHAKE = (
+    b'GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n'
+    b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
+    b'Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n'
+)
+MESSAGE = HANDSHAKE + FRAME + bytes(4 * crowds.MEBIBYTE - 1)
 PORTS = [
     ('n1', 'call'),
     ('n1', 'admin'),
+    ('n1', 'link'),
     ('control-0', 'admin'),
+    ('control-0', 'link'),
 ]
 
 
@@ -37,8 +47,8 @@
 @pytest.mark.parametrize(('process', 'kind'), PORTS)
 @pytest.mark.parametrize(
     'text',
-    [crowds.LINES, BODY, crowds.CHUNKS, crowds.BYTES],
-    ids=['lines', 'bodies', 'chunks', 'bytes'],
+    [crowds.LINES, BODY, crowds.CHUNKS, crowds.BYTES, MESSAGE],
+    ids=['lines', 'bodies', 'chunks', 'bytes', 'messages'],
 )
 def test_crowd_leaves_memory_for_others(site, process, kind, text):
     crowded = crowds.Process(site, process)
@@ -48,21 +58,37 @@
     crowded.check(growth_bytes=crowds.MACHINE_BYTES - crowded.memory)
 
 
-@pytest.mark.parametrize('kind', ['call', 'admin'])
-def test_low_limit_of_a_node_holds_at_each_port(site, kind):
+@pytest.mark.parametrize('kind', ['call', 'admin', 'link'])
+@pytest.mark.parametrize('text', [BODY, MESSAGE], ids=['bodies', 'messages'])
+def test_low_limit_of_a_node_holds_at_each_port(site, kind, text):
     crowded = crowds.Process(site, 'n1')
     crowd = crowds.connect_many(crowds.find_port(site, 'n1', kind), CROWD)
-    crowds.send_all(dict.fromkeys(crowd, BODY))
+    crowds.send_all(dict.fromkeys(crowd, text))
+    check_served(site)
+    crowded.check()
+
+
+def test_crowds_at_all_ports_of_a_node_leave_memory_for_others(site):
+    crowded = crowds.Process(site, 'n1')
+    texts = {}
+    for kind, text in (('call', BODY), ('admin', BODY), ('link', MESSAGE)):
+        port = crowds.find_port(site, 'n1', kind)
+        texts |= dict.fromkeys(crowds.connect_many(port, CROWD // 3), text)
+    crowds.send_all(texts)
     check_served(site)
     crowded.check()
 
 
 @pytest.mark.parametrize(('process', 'kind'), PORTS)
-def test_open_connections_leave_descriptors_for_others(tmp_path, process, kind):
+@pytest.mark.parametrize('text', [b'', HANDSHAKE], ids=['idle', 'handshakes'])
+def test_open_connections_leave_descriptors_for_others(
+    tmp_path, process, kind, text
+):
     with crowds.run_site(tmp_path, descriptor_limit=DESCRIPTOR_LIMIT) as site:
         crowded = crowds.Process(site, process)
         port = crowds.find_port(site, process, kind)
-        crowds.connect_many(port, IDLE_CROWD)
+        crowd = crowds.connect_many(port, IDLE_CROWD)
+        crowds.send_all(dict.fromkeys(crowd, text), idle_limit=20)
         check_served(site)
         assert crowded.count_descriptors() < DESCRIPTOR_LIMIT
         crowded.check()
