Accept few connections in one pass of the loop

Clients saw: 500 connections that arrive at the callers' port at once, while the process is busy, took all 400 descriptors of a node (`accept_failed`), although at most 128 connections may stay. Upstreams and other nodes cannot be reached then.

Cause: up to 1,024 connections were accepted in one pass. Those that give way to them are closed in the next passes and keep their descriptors until then; asyncio accepts up to 100 connections of links in the same way.

Change: 8 connections of a port are accepted in a pass, so that those of four passes at all ports fit into the 200 descriptors set aside. The queue of the system stays at 1,024, also for links.

--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -22,6 +22,7 @@
     link_connection,
     link_frames,
     link_peers,
+    listener,
     traffic,
 )
 from shallotwharf.core import (
@@ -120,27 +121,26 @@
         Raises:
             LinkError: if the address cannot be bound.
         """
-        try:
-            self._server = await server.serve(
-                self._async_accept,
-                self._hello.host,
-                self._hello.port,
-                max_size=codec.MAX_MESSAGE_BYTES,
-                compression=None,
-                ping_interval=_PING_SECONDS,
-                ping_timeout=_PING_SECONDS,
-                close_timeout=_CLOSE_TIMEOUT_SECONDS,
-                create_connection=typing.cast(
-                    type[server.ServerConnection],
-                    functools.partial(link_connection.AcceptedLink, self._port),
-                ),
-            )
-        except OSError as error:
-            raise errors.LinkError(
-                f'cannot listen: {error.strerror}',
-                'links.listen',
-                f'{self._hello.host}:{self._hello.port}',
-            ) from error
+        bound = listener.bind(
+            self._hello.host, self._hello.port, 'links.listen'
+        )
+        self._server = await server.serve(
+            self._async_accept,
+            sock=bound,
+            # To asyncio, the connections accepted in one pass of the loop.
+            backlog=listener.MAX_ACCEPTED,
+            max_size=codec.MAX_MESSAGE_BYTES,
+            compression=None,
+            ping_interval=_PING_SECONDS,
+            ping_timeout=_PING_SECONDS,
+            close_timeout=_CLOSE_TIMEOUT_SECONDS,
+            create_connection=typing.cast(
+                type[server.ServerConnection],
+                functools.partial(link_connection.AcceptedLink, self._port),
+            ),
+        )
+        # It has set the queue of the socket to the same number.
+        bound.listen(listener.BACKLOG)
         self._port.sweep()
 
     async def async_close(self) -> None:
--- a/shallotwharf/adapters/listener.py
+++ b/shallotwharf/adapters/listener.py
@@ -12,7 +12,10 @@
 
 from shallotwharf.core import errors, logs
 
-_BACKLOG: typing.Final = 1024
+BACKLOG: typing.Final = 1024
+# Connections accepted in one pass of the loop. Those that give way to them are
+# closed in the next passes, and have their descriptors until then.
+MAX_ACCEPTED: typing.Final = 8
 # Pause after an error that would occur again at once, like a lack of
 # descriptors.
 _RETRY_SECONDS: typing.Final = 0.1
@@ -39,10 +42,10 @@
         """
         self._make_protocol = make_protocol
         self._loop = asyncio.get_running_loop()
-        self._socket = _bind(host, port)
+        self._socket = bind(host, port, 'inbound.listen')
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._loop.add_reader(self._socket, self._accept_queued)
+        self._loop.add_reader(self._socket, self._accept_some)
 
     def find_port(self) -> int:
         """Return the port that it listens on."""
@@ -58,8 +61,13 @@
         self._loop.remove_reader(self._socket)
         self._socket.close()
 
+    def _accept_some(self) -> None:
+        for _ in range(MAX_ACCEPTED):
+            if not self._accept():
+                return
+
     def _accept_queued(self) -> None:
-        for _ in range(_BACKLOG):
+        for _ in range(BACKLOG):
             if not self._accept():
                 return
 
@@ -87,20 +95,25 @@
             _RETRY_SECONDS,
             self._loop.add_reader,
             self._socket,
-            self._accept_queued,
+            self._accept_some,
         )
 
 
-def _bind(host: str, port: int) -> socket.socket:
+def bind(host: str, port: int, step: str) -> socket.socket:
+    """Return a socket that listens on an IP address.
+
+    Raises:
+        LinkError: with the step, if the address cannot be bound.
+    """
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     try:
         bound = socket.create_server(
-            (host, port), family=family, backlog=_BACKLOG
+            (host, port), family=family, backlog=BACKLOG
         )
     except OSError as error:
         raise errors.LinkError(
             f'cannot listen: {error.strerror}',
-            'inbound.listen',
+            step,
             f'{host}:{port}',
         ) from error
     bound.setblocking(False)
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -22,7 +22,6 @@
 MACHINE_BYTES = 200 * MEBIBYTE
 _RESET = struct.pack('ii', 1, 0)
 _POLL_SECONDS = 0.01
-_SETTLED_POLLS = 30
 # Connections to close at the end of a test, also of one that fails.
 _opened = []
 ROUTES = [
@@ -68,15 +67,6 @@
     def count_descriptors(self):
         return len(os.listdir(f'/proc/{self.pid}/fd'))
 
-    def wait_until_settled(self):
-        """Wait until connections that were begun are accepted or refused."""
-        seen = []
-        while seen[-_SETTLED_POLLS:].count(self.count_descriptors()) < (
-            _SETTLED_POLLS
-        ):
-            seen.append(self.count_descriptors())
-            processes.time.sleep(_POLL_SECONDS)
-
     def check(self, growth_bytes=GROWTH_BYTES, total_bytes=MACHINE_BYTES):
         """Check that it lives, and the most memory that it has had."""
         assert self.site.running[self.name].poll() is None
@@ -101,7 +91,12 @@
 
 
 @contextlib.contextmanager
-def run_site(folder, names=('n1',), descriptor_limit=0):
+def run_site(
+    folder,
+    names=('n1',),
+    descriptor_limit=0,
+    max_connections=MAX_CONNECTIONS,
+):
     """Run one control process and nodes; the last one has the upstream."""
     started = processes.Site(
         folder, dict.fromkeys(names, 'dc-0'), control_count=1
@@ -109,7 +104,7 @@
     for node in started.nodes.values():
         node |= {
             'request_memory_bytes': REQUEST_MEMORY_BYTES,
-            'max_connections': MAX_CONNECTIONS,
+            'max_connections': max_connections,
         }
     limited = contextlib.nullcontext()
     if descriptor_limit:
@@ -149,10 +144,10 @@
 
 
 def connect_many(port, count):
-    """Open connections; those that the process does not accept are left out."""
+    """Open connections, until the process accepts no more."""
     crowd = []
-    for _ in range(count):
-        with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError):
+        for _ in range(count):
             crowd.append(connect(port))
     return crowd
 
--- a/tests/processes/test_crowded_ports.py
+++ b/tests/processes/test_crowded_ports.py
@@ -92,3 +92,15 @@
         check_served(site)
         assert crowded.count_descriptors() < DESCRIPTOR_LIMIT
         crowded.check()
+
+
+@pytest.mark.parametrize(('process', 'kind'), PORTS)
+def test_burst_of_connections_leaves_descriptors(tmp_path, process, kind):
+    """Guards against more connections in one pass than descriptors are left."""
+    with crowds.run_site(tmp_path, descriptor_limit=DESCRIPTOR_LIMIT) as site:
+        port = crowds.find_port(site, process, kind)
+        with crowds.suspend(site, process):
+            crowds.begin_connecting(port, IDLE_CROWD)
+        check_served(site)
+        assert 'accept_failed' not in site.read_log(process)
+        assert 'Too many open files' not in site.read_log(process)
