Bound the connections of all ports together

Clients saw: idle connections at the ports for calls, links and operators, each within the bound of its port, took all descriptors of a node together: nobody got an answer for as long as they stayed.

Cause: each port may have half of what is left after 200 descriptors, and a node has three to five ports.

Change: `crowd.Connections` counts the connections of all ports of a process. Above the process limit of descriptors less 200, the port that has most of them closes one: the one idle for longest, then the one that waits longest. A crowd at one port so never closes the connections of a quieter one. Closed connections are logged with their port.

--- a/shallotwharf/adapters/capacity.py
+++ b/shallotwharf/adapters/capacity.py
@@ -2,12 +2,18 @@
 
 import asyncio
 
-from shallotwharf.adapters import message_memory, notices, slicer
+from shallotwharf.adapters import (
+    crowd,
+    limits,
+    message_memory,
+    notices,
+    slicer,
+)
 from shallotwharf.core import clock, counters
 
 
 class Capacity:
-    """Memory and parsing time that all ports of a process share.
+    """Memory, connections and parsing time that all ports of a process share.
 
     One account decides who gives way, so that a crowd at one port neither adds
     to what another port may hold nor takes what others need there.
@@ -17,6 +23,7 @@
         counters: counters of the process.
         memory: bytes of requests and messages that arrive or are handled, and
             of responses to be written.
+        connections: open connections of all ports.
         slicer: lets the connections parse by turns.
         notices: log lines about clients that gave way.
     """
@@ -25,6 +32,7 @@
         'loop',
         'counters',
         'memory',
+        'connections',
         'slicer',
         'notices',
     )
@@ -34,9 +42,27 @@
         self.loop = asyncio.get_running_loop()
         self.counters = process_counters
         self.memory = message_memory.RequestMemory()
+        self.connections = crowd.Connections()
         self.slicer = slicer.Slicer()
         self.notices = notices.Notices(clock.SystemClock())
 
+    def build_crowd(
+        self, server_limits: limits.ServerLimits, port: str
+    ) -> crowd.Crowd:
+        """Return the connections of another port, without any yet.
+
+        Args:
+            server_limits: limits of the port.
+            port: name of the port in log lines.
+        """
+        return crowd.Crowd(
+            server_limits,
+            self.counters,
+            self.memory,
+            self.connections,
+            lambda reason: self.notices.write(port, reason, 0),
+        )
+
     def report(self, port: str, reason: str, held_bytes: int = 0) -> None:
         """Count and log a client that was refused or closed.
 
--- a/shallotwharf/adapters/http_server.py
+++ b/shallotwharf/adapters/http_server.py
@@ -7,7 +7,6 @@
     arrival,
     caller,
     capacity,
-    crowd,
     limits,
     listener,
     turns,
@@ -59,9 +58,7 @@
         self.is_public = is_public
         self.turns = turns.Turns()
         self._connections: set[arrival.Arrival] = set()
-        self._crowd = crowd.Crowd(
-            server_limits, shared_capacity.counters, shared_capacity.memory
-        )
+        self._crowd = shared_capacity.build_crowd(server_limits, port_name)
         self._sweeping: asyncio.TimerHandle | None = None
         self._listener: listener.Listener | None = None
 
--- a/shallotwharf/adapters/limits.py
+++ b/shallotwharf/adapters/limits.py
@@ -76,10 +76,15 @@
         )
 
 
+def find_process_connections() -> int:
+    """Return a bound below the descriptors that the process may open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(soft - _OTHER_DESCRIPTORS, _MIN_CONNECTIONS)
+
+
 def find_max_connections() -> int:
-    """Return a bound below the descriptors that the process may open.
+    """Return the bound of one port.
 
     Callers and other nodes have a port each.
     """
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return max((soft - _OTHER_DESCRIPTORS) // 2, _MIN_CONNECTIONS)
+    return max(find_process_connections() // 2, _MIN_CONNECTIONS)
--- a/shallotwharf/adapters/link_connection.py
+++ b/shallotwharf/adapters/link_connection.py
@@ -124,9 +124,7 @@
         self.capacity = shared_capacity
         server_limits = limits.ServerLimits(0, is_public=True)
         server_limits.idle_seconds = _HELLO_SECONDS
-        self._crowd = crowd.Crowd(
-            server_limits, shared_capacity.counters, shared_capacity.memory
-        )
+        self._crowd = shared_capacity.build_crowd(server_limits, PORT_NAME)
         self._sweeping: asyncio.TimerHandle | None = None
 
     def add(self, arriving: Arriving) -> None:
--- a/tests/adapters/test_crowd.py
+++ b/tests/adapters/test_crowd.py
@@ -108,3 +108,52 @@
         member.read, member.unread = count, 1000
         found.sweep(now)
     assert member.aborted is expected
+
+
+@pytest.mark.parametrize(
+    ('limit', 'sizes', 'expected'),
+    [
+        (5, [3, 2], [0, 0]),
+        (4, [3, 2], [1, 0]),
+        (4, [2, 3], [0, 1]),
+        (1, [3, 0], [2, 0]),
+    ],
+)
+def test_port_with_most_connections_gives_way(limit, sizes, expected):
+    """Guards against a crowd at one port that closes another port's."""
+    connections = crowd.Connections()
+    connections.limit = limit
+    memory = message_memory.RequestMemory()
+    closed = []
+    for size in sizes:
+        found_limits = limits.ServerLimits(1000, is_public=True)
+        found = crowd.Crowd(
+            found_limits, counters.Counters(), memory, connections
+        )
+        members = [Connection(number) for number in range(size)]
+        closed.append(members)
+        for member in members:
+            found.add(member)
+    assert [sum(row.closed for row in rows) for rows in closed] == expected
+    assert connections.is_short()
+
+
+def test_new_connection_gives_way_to_those_at_work():
+    connections = crowd.Connections()
+    connections.limit = 2
+    memory = message_memory.RequestMemory()
+    ports = [
+        crowd.Crowd(
+            limits.ServerLimits(1000, is_public=True),
+            counters.Counters(),
+            memory,
+            connections,
+        )
+        for _ in range(2)
+    ]
+    busy = [Connection(1, idle=False, busy=True) for _ in range(2)]
+    for member in busy:
+        ports[0].add(member)
+    newest = Connection(2)
+    ports[1].add(newest)
+    assert newest.closed and not any(member.closed for member in busy)
--- a/tests/processes/test_crowded_ports.py
+++ b/tests/processes/test_crowded_ports.py
@@ -13,6 +13,10 @@
 BODY = crowds.write_body(4 * crowds.MEBIBYTE)
 DESCRIPTOR_LIMIT = 400
 IDLE_CROWD = 500
+# Half of what is left after 200 descriptors, at three ports, is more than all.
+ALL_PORTS_DESCRIPTOR_LIMIT = 1000
+ALL_PORTS_MAX_CONNECTIONS = 400
+ALL_PORTS_CROWD = 700
 # First frame of a WebSocket connection: a binary message of 4 MiB, masked.
 FRAME = b'\x82\xff' + (4 * crowds.MEBIBYTE).to_bytes(8, 'big') + b'\0\0\0\0'
 HANDSHAKE = (
@@ -94,6 +98,22 @@
         crowded.check()
 
 
+def test_idle_connections_at_all_ports_leave_descriptors(tmp_path):
+    with crowds.run_site(
+        tmp_path,
+        descriptor_limit=ALL_PORTS_DESCRIPTOR_LIMIT,
+        max_connections=ALL_PORTS_MAX_CONNECTIONS,
+    ) as site:
+        crowded = crowds.Process(site, 'n1')
+        for kind in ('call', 'admin', 'link'):
+            port = crowds.find_port(site, 'n1', kind)
+            crowds.connect_many(port, ALL_PORTS_CROWD)
+        check_served(site)
+        assert 'accept_failed' not in site.read_log('n1')
+        assert crowded.count_descriptors() < ALL_PORTS_DESCRIPTOR_LIMIT
+        crowded.check()
+
+
 @pytest.mark.parametrize(('process', 'kind'), PORTS)
 def test_burst_of_connections_leaves_descriptors(tmp_path, process, kind):
     """Guards against more connections in one pass than descriptors are left."""
