Notice that a client has left while its connection is not read

Clients saw: crowds that come again and again filled a node. After 20 waves of 120 connections, each cut off at a random byte and then reset or closed, connections of clients that had gone stayed for more than a minute, in CLOSE_WAIT, with their requests, and their backlogs ran on.

Cause: reading is paused while a connection has more requests than may run. A transport that is not read does not see the end of its connection, so the backlog was run to its end, a few requests at a time.

--- a/shallotwharf/adapters/arrival.py
+++ b/shallotwharf/adapters/arrival.py
@@ -125,6 +125,23 @@
         self._progress: int | None = None
         self.idle_since = self._opened_at
 
+    def find_unread(self) -> int | None:
+        """Return the descriptor of a connection that is not read.
+
+        Returns None if it is read, so that its end is noticed.
+        """
+        if not self._find_intake().is_paused():
+            return None
+        opened = self._find_transport().get_extra_info('socket')
+        descriptor = opened.fileno()
+        return descriptor if descriptor >= 0 else None
+
+    def end(self) -> None:
+        """Close the connection as if its end had been read."""
+        self._server.capacity.counters.add('inbound.departed')
+        self._reader.stop()
+        self._find_transport().close()
+
     @abc.abstractmethod
     def cut(self) -> None:
         """End the calls that the connection carries, if any, and close it."""
--- a/shallotwharf/adapters/http_server.py
+++ b/shallotwharf/adapters/http_server.py
@@ -7,6 +7,7 @@
     arrival,
     caller,
     capacity,
+    departures,
     limits,
     listener,
     turns,
@@ -91,7 +92,19 @@
         if self._sweeping is not None:
             self._sweeping.cancel()
 
+    def _end_departed(self) -> None:
+        """Close the connections whose clients have left unnoticed."""
+        unread = {
+            descriptor: connection
+            for connection in self._connections
+            if (descriptor := connection.find_unread()) is not None
+        }
+        if unread:
+            for departed in departures.find_departed(unread):
+                unread[departed].end()
+
     def _sweep(self) -> None:
         loop = self.capacity.loop
         self._crowd.sweep(loop.time())
+        self._end_departed()
         self._sweeping = loop.call_later(_SWEEP_SECONDS, self._sweep)
--- a/shallotwharf/adapters/intake.py
+++ b/shallotwharf/adapters/intake.py
@@ -34,6 +34,10 @@
             self._is_paused = False
             self._transport.resume_reading()
 
+    def is_paused(self) -> bool:
+        """Return whether the transport is not read."""
+        return self._is_paused
+
     def has_timer(self) -> bool:
         """Return whether a time limit is set."""
         return self._timer is not None
