Serve a slow body while there is room

Clients saw: a body of 140 bytes sent as 10 bytes a second, and a chunked one of an odd chunk every half second, got 408 after 10 s in calm.

Cause: the rule of 16 KiB in each 10 s, a built-in one, held at all times.

Change: it holds only while more than half of the memory or of the connections is in use. Otherwise a body may be slow, but not pause for longer than a connection may be idle.

--- a/shallotwharf/adapters/arrival.py
+++ b/shallotwharf/adapters/arrival.py
@@ -232,9 +232,16 @@
             )
 
     def _check_progress(self) -> None:
-        """Refuse a body that hardly grows; it may never end."""
+        """Refuse a body that has stopped; while room is short, a slow one.
+
+        It may never end, but what keeps moving takes room from nobody as long
+        as there is enough.
+        """
         size = self._reader.count_body()
-        if size < (self._progress or 0) + limits.BODY_PERIOD_BYTES:
+        is_slow = size < (self._progress or 0) + limits.BODY_PERIOD_BYTES
+        quiet_for = self._server.capacity.loop.time() - self.idle_since
+        has_stopped = quiet_for > self._server.limits.idle_seconds
+        if has_stopped or (is_slow and self._server.capacity.is_short()):
             self._refuse(refusals.TIMED_OUT)
             return
         self._progress = size
--- a/shallotwharf/adapters/capacity.py
+++ b/shallotwharf/adapters/capacity.py
@@ -46,6 +46,10 @@
         self.slicer = slicer.Slicer()
         self.notices = notices.Notices(clock.SystemClock())
 
+    def is_short(self) -> bool:
+        """Return whether half of the memory or the connections is in use."""
+        return self.memory.is_short() or self.connections.is_short()
+
     def build_crowd(
         self, server_limits: limits.ServerLimits, port: str
     ) -> crowd.Crowd:
--- a/shallotwharf/adapters/limits.py
+++ b/shallotwharf/adapters/limits.py
@@ -15,7 +15,8 @@
 # Descriptors for links, upstreams, other nodes and files.
 _OTHER_DESCRIPTORS: typing.Final = 200
 _MIN_CONNECTIONS: typing.Final = 16
-# A body must grow by this much in each period, or end.
+# While memory or connections are short, a body must grow by this much in each
+# period, or end.
 BODY_PERIOD_SECONDS: typing.Final = 10.0
 BODY_PERIOD_BYTES: typing.Final = 16_384
 # Responses must be read at the same rate as bodies must grow, within the idle
--- a/tests/processes/test_crowded_ports.py
+++ b/tests/processes/test_crowded_ports.py
@@ -4,6 +4,8 @@
 Each test runs alone and checks nothing that depends on the machine's speed.
 """
 
+import socket
+
 import pytest
 
 from measurements import site as processes
@@ -124,3 +126,28 @@
         check_served(site)
         assert 'accept_failed' not in site.read_log(process)
         assert 'Too many open files' not in site.read_log(process)
+
+
+def test_body_that_keeps_moving_is_served(site):
+    """A body of 14 s is within all limits of the pages."""
+    port = crowds.find_port(site, 'n1', 'call')
+    head = crowds.START + b'Connection: close\r\nContent-Length: 140\r\n\r\n'
+    with socket.create_connection((processes.HOST, port)) as opened:
+        opened.sendall(head)
+        for _ in range(140):
+            processes.time.sleep(0.1)
+            opened.sendall(b'x')
+        with opened.makefile('rb') as received:
+            assert received.readline().startswith(b'HTTP/1.1 200 ')
+
+
+def test_chunks_that_keep_moving_are_served(site):
+    port = crowds.find_port(site, 'n1', 'call')
+    with socket.create_connection((processes.HOST, port)) as opened:
+        opened.sendall(crowds.CHUNKED)
+        for _ in range(28):
+            processes.time.sleep(0.5)
+            opened.sendall(b'1;odd=yes\r\nx\r\n')
+        opened.sendall(b'0\r\n\r\n')
+        with opened.makefile('rb') as received:
+            assert received.readline().startswith(b'HTTP/1.1 200 ')
