Find a repeated key in one pass over an object

Clients saw: one document of 4 MB, an object with 400,000 keys of which the last is repeated, stopped a control process or a node: no answers, no heartbeats, for as long as the search took.

Cause: the message names the repeated key, and the search for it took the square of the number of keys.

Change: one pass with a set.

--- a/shallotwharf/core/documents.py
+++ b/shallotwharf/core/documents.py
@@ -36,11 +36,20 @@
 ) -> dict[str, typing.Any]:
     built = dict(pairs)
     if len(built) < len(pairs):
-        names = [name for name, _ in pairs]
-        repeated = next(name for name in names if names.count(name) > 1)
+        repeated = _find_repeated(pairs)
         raise ValueError(f'key {repeated!r:.40} appears twice in an object')
     return built
 
 
+def _find_repeated(pairs: abc.Iterable[tuple[str, typing.Any]]) -> str:
+    """Return the first key that stands behind itself."""
+    seen: set[str] = set()
+    for name, _ in pairs:
+        if name in seen:
+            return name
+        seen.add(name)
+    raise ValueError('no key is repeated')
+
+
 def _refuse_constant(constant: str) -> typing.NoReturn:
     raise ValueError(f'{constant} is not JSON')
