Bound the faults that are reported of a document

Clients saw: an edit of 6 MB with 2,000,000 rows that are no routes, or a route with as many methods, stopped a control process and took its memory.

Cause: all faults were collected, each with some 2 KB, and the library collects them for all values of a list and all keys of an object.

The checks across rows, and those of the platform's configurations, stop after 100 faults, too.

--- a/shallotwharf/components/tables/document.py
+++ b/shallotwharf/components/tables/document.py
@@ -1,6 +1,7 @@
 """Reads, checks and writes the JSON documents of the tables."""
 
 import datetime
+import itertools
 import typing
 from collections import abc
 
@@ -114,7 +115,7 @@
 
 _ROUTES: typing.Final = voluptuous.Schema(
     {
-        voluptuous.Required(const.CONF_ROUTES): [_ROUTE],
+        voluptuous.Required(const.CONF_ROUTES): schema.Rows(_ROUTE),
         voluptuous.Optional(const.CONF_REVISION, default=0): fields.check_int(
             0,
             const.MAX_REVISION,
@@ -122,7 +123,7 @@
     },
 )
 _POOLS: typing.Final = voluptuous.Schema(
-    {voluptuous.Required(const.CONF_POOLS): [_POOL]},
+    {voluptuous.Required(const.CONF_POOLS): schema.Rows(_POOL)},
 )
 
 
@@ -171,18 +172,22 @@
     Raises:
         ExceptionGroup: of `TablesError`, one for each fault with its path.
     """
+    found = itertools.islice(_find_faults(tables, checked), schema.MAX_FAULTS)
+    _raise_faults(tuple(found))
+
+
+def _find_faults(
+    tables: version.Tables, checked: version.Tables
+) -> abc.Iterator[errors.TablesError]:
     pools = {row.name for row in tables.pools}
-    faults = [
-        *_find_duplicates(const.CONF_ROUTES, tables.routes),
-        *_find_duplicates(const.CONF_POOLS, tables.pools),
-        *_find_duplicates(const.CONF_TENANTS, tables.tenants),
-        *tenants_document.check_tenants(tables.tenants),
-    ]
+    yield from _find_duplicates(const.CONF_ROUTES, tables.routes)
+    yield from _find_duplicates(const.CONF_POOLS, tables.pools)
+    yield from _find_duplicates(const.CONF_TENANTS, tables.tenants)
+    yield from tenants_document.check_tenants(tables.tenants)
     for table_route in _list_unchecked(tables, checked, pools):
-        faults.extend(_check_route(table_route, pools))
+        yield from _check_route(table_route, pools)
     for table_pool in tables.pools:
-        faults.extend(_check_move(table_pool))
-    _raise_faults(faults)
+        yield from _check_move(table_pool)
 
 
 def _list_unchecked(
@@ -283,14 +288,12 @@
 def _find_duplicates(
     table: str,
     rows: abc.Iterable[route.Route | pool.Pool | tenant.Tenant],
-) -> list[errors.TablesError]:
+) -> abc.Iterator[errors.TablesError]:
     seen: set[str] = set()
-    faults = []
     for row in rows:
         if row.name in seen:
-            faults.append(_build_error('duplicate name', table, row.name))
+            yield _build_error('duplicate name', table, row.name)
         seen.add(row.name)
-    return faults
 
 
 def _check_route(
--- a/shallotwharf/components/tables/tenants_document.py
+++ b/shallotwharf/components/tables/tenants_document.py
@@ -45,7 +45,7 @@
     },
 )
 _TENANTS: typing.Final = voluptuous.Schema(
-    {voluptuous.Required(const.CONF_TENANTS): [_TENANT]},
+    {voluptuous.Required(const.CONF_TENANTS): schema.Rows(_TENANT)},
 )
 
 
--- a/shallotwharf/platform/forms.py
+++ b/shallotwharf/platform/forms.py
@@ -9,7 +9,7 @@
 import typing
 from collections import abc as abc_collections
 
-from shallotwharf.core import records
+from shallotwharf.core import records, schema
 
 Path: typing.TypeAlias = tuple[str | int, ...]
 
@@ -144,7 +144,10 @@
         self._fewest = fewest
 
     def find_faults(self, raw: typing.Any) -> Faults:
-        """Return the faults of a list and of its values."""
+        """Return the faults of a list and of its values.
+
+        Values behind the last fault that is reported are not checked.
+        """
         if type(raw) is not list:
             return (Fault('expected a list'),)
         if len(raw) < self._fewest:
@@ -155,6 +158,8 @@
             faults = find_faults(row)
             if faults:
                 found.extend(fault.put_under(position) for fault in faults)
+                if len(found) >= schema.MAX_FAULTS:
+                    break
         return found
 
 
--- a/shallotwharf/platform/references.py
+++ b/shallotwharf/platform/references.py
@@ -3,9 +3,11 @@
 They take a configuration that has the form of `form.CONFIGURATION`.
 """
 
+import itertools
 import typing
 from collections import abc
 
+from shallotwharf.core import schema
 from shallotwharf.platform import forms, sites
 
 _Json: typing.TypeAlias = dict[str, typing.Any]
@@ -15,12 +17,13 @@
 
 
 def find_faults(config: _Json, known: sites.Sites) -> list[forms.Fault]:
-    """Return all faults, each with the path of the row that causes it."""
-    return [
-        *_find_clusters(config['clusters']),
-        *_find_rules(config['listeners'], known),
-        *_find_tenants(config.get('tenants') or (), known),
-    ]
+    """Return the faults, each with the path of the row that causes it."""
+    found = itertools.chain(
+        _find_clusters(config['clusters']),
+        _find_rules(config['listeners'], known),
+        _find_tenants(config.get('tenants') or (), known),
+    )
+    return list(itertools.islice(found, schema.MAX_FAULTS))
 
 
 class _Unique:
