--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/lint-imports --no-cache
 
 # A fixed hash seed gives sets the same iteration order, and so the tests the
-# same result, in every run.
+# same result, in every run. The tests run one at a time: those that send crowds
+# of clients measure the memory of processes, so start no others beside them.
 test: check
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest
 
