Name the address of a client that gives way in the log

Operators saw in `client_gave_way` the port, the reason and the bytes, not who gave way. The line has the IP address now, of the first client of those that it stands for.

Evidence: tests/adapters/test_capacity.py.

--- a/shallotwharf/adapters/arrival.py
+++ b/shallotwharf/adapters/arrival.py
@@ -125,6 +125,10 @@
         self._progress: int | None = None
         self.idle_since = self._opened_at
 
+    def find_peer(self) -> str:
+        """Return the IP address of the client; empty if it is not known."""
+        return self._find_intake().find_peer()
+
     def find_unread(self) -> int | None:
         """Return the descriptor of a connection that is not read.
 
--- a/shallotwharf/adapters/caller.py
+++ b/shallotwharf/adapters/caller.py
@@ -104,11 +104,6 @@
             ready = self._pipeline.take_next()
         self._proceed()
 
-    def find_peer(self) -> str:
-        """Return the IP address of the client; empty if it is not known."""
-        peer = self._find_transport().get_extra_info('peername')
-        return str(peer[0]) if peer else ''
-
     def resume_writing(self) -> None:
         """Write the rest of the responses; then read on."""
         self._find_writer().resume()
@@ -245,7 +240,10 @@
     def _refuse(self, step: calls.Respond) -> None:
         """Answer an incomplete request after those before it, then close."""
         self._server.capacity.report(
-            self._server.port_name, step.reason, self._held.size
+            self._server.port_name,
+            step.reason,
+            self._held.size,
+            self.find_peer(),
         )
         self._find_intake().stop_timer()
         self._reader.stop()
--- a/shallotwharf/adapters/capacity.py
+++ b/shallotwharf/adapters/capacity.py
@@ -64,16 +64,19 @@
             self.counters,
             self.memory,
             self.connections,
-            lambda reason: self.notices.write(port, reason, 0),
+            lambda reason, peer: self.notices.write(port, reason, 0, peer),
         )
 
-    def report(self, port: str, reason: str, held_bytes: int = 0) -> None:
+    def report(
+        self, port: str, reason: str, held_bytes: int, peer: str
+    ) -> None:
         """Count and log a client that was refused or closed.
 
         Args:
             port: name of the port that the client uses.
             reason: name of the counter below `inbound`.
             held_bytes: memory that the client held.
+            peer: IP address of the client; empty if it is not known.
         """
         self.counters.add(f'inbound.{reason}')
-        self.notices.write(port, reason, held_bytes)
+        self.notices.write(port, reason, held_bytes, peer)
--- a/shallotwharf/adapters/crowd.py
+++ b/shallotwharf/adapters/crowd.py
@@ -7,7 +7,7 @@
 from shallotwharf.core import counters
 
 REASON_TOO_MANY: typing.Final = 'too_many_connections'
-OnGiveWay: typing.TypeAlias = typing.Callable[[str], None]
+OnGiveWay: typing.TypeAlias = typing.Callable[[str, str], None]
 
 
 class Member(abc.ABC):
@@ -36,6 +36,10 @@
         The latter are 0 if the process holds none of them.
         """
 
+    def find_peer(self) -> str:
+        """Return the IP address of the client; empty if it is not known."""
+        return ''
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Close it at once."""
@@ -45,7 +49,7 @@
         """Close it once its responses are written."""
 
 
-def _ignore_reason(_reason: str) -> None:
+def _ignore(_reason: str, _peer: str) -> None:
     """Log nothing about a connection that is closed."""
 
 
@@ -106,7 +110,7 @@
         process_counters: counters.Counters,
         memory: message_memory.RequestMemory,
         connections: Connections | None = None,
-        on_give_way: OnGiveWay = _ignore_reason,
+        on_give_way: OnGiveWay = _ignore,
     ) -> None:
         """Create the connections of a port.
 
@@ -115,7 +119,8 @@
             process_counters: counters of the process.
             memory: memory that all ports share.
             connections: connections of all ports; None if it is the only one.
-            on_give_way: gets the reason why a connection is closed.
+            on_give_way: gets the reason why a connection is closed, and the IP
+                address of its client.
         """
         self._limits = server_limits
         self._counters = process_counters
@@ -144,7 +149,6 @@
         It is `newest`, which may belong to another port, if all others carry
         requests that were started.
         """
-        self._on_give_way(REASON_TOO_MANY)
         self._counters.add(f'inbound.{REASON_TOO_MANY}')
         # The new one is idle, too, but its request may be on its way.
         others = self._members - {newest}
@@ -153,6 +157,7 @@
         chosen = min(idle or waiting or [newest], key=_read_idle_since)
         # It counts no more, although its descriptor is closed a little later.
         self._members.discard(chosen)
+        self._on_give_way(REASON_TOO_MANY, chosen.find_peer())
         chosen.close()
 
     def remove(self, member: Member) -> None:
--- a/shallotwharf/adapters/intake.py
+++ b/shallotwharf/adapters/intake.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 
+from shallotwharf.adapters import peers
+
 
 class Intake:
     """Pauses the reading of a transport and limits the time of a step.
@@ -34,6 +36,10 @@
             self._is_paused = False
             self._transport.resume_reading()
 
+    def find_peer(self) -> str:
+        """Return the IP address of the peer; empty if it is not known."""
+        return peers.find_address(self._transport)
+
     def is_paused(self) -> bool:
         """Return whether the transport is not read."""
         return self._is_paused
--- a/shallotwharf/adapters/link_connection.py
+++ b/shallotwharf/adapters/link_connection.py
@@ -10,7 +10,13 @@
 
 from websockets.asyncio import client, connection, server
 
-from shallotwharf.adapters import capacity, crowd, limits, message_memory
+from shallotwharf.adapters import (
+    capacity,
+    crowd,
+    limits,
+    message_memory,
+    peers,
+)
 from shallotwharf.core import errors
 
 PORT_NAME: typing.Final = 'links'
@@ -88,6 +94,10 @@
         """Return that no response waits: pings detect slow readers."""
         return 0, 0
 
+    def find_peer(self) -> str:
+        """Return the IP address of the peer; empty if it is not known."""
+        return peers.find_address(self._find_transport())
+
     def abort(self) -> None:
         """Close the connection at once."""
         self._find_transport().abort()
@@ -104,7 +114,9 @@
         return max(self._arrived + waiting - free, 0)
 
     def _give_way(self) -> None:
-        self._port.capacity.report(PORT_NAME, 'memory_full', self._held.size)
+        self._port.capacity.report(
+            PORT_NAME, 'memory_full', self._held.size, self.find_peer()
+        )
         self.abort()
 
     def _find_transport(self) -> asyncio.Transport:
--- a/shallotwharf/adapters/notices.py
+++ b/shallotwharf/adapters/notices.py
@@ -22,7 +22,7 @@
         self._written_at: dict[tuple[str, str], int] = {}
         self._left_out: dict[tuple[str, str], int] = {}
 
-    def write(self, port: str, reason: str, held_bytes: int) -> None:
+    def write(self, port: str, reason: str, held_bytes: int, peer: str) -> None:
         """Log a client that gave way, or count it for the next line.
 
         Args:
@@ -30,6 +30,7 @@
             reason: why it gave way; the counter `inbound.REASON` has its
                 number.
             held_bytes: memory that is released.
+            peer: IP address of the client; empty if it is not known.
         """
         topic = (port, reason)
         now = self._clock.read()
@@ -41,6 +42,7 @@
         logs.warn(
             'client_gave_way',
             port=port,
+            peer=peer,
             reason=reason,
             held_bytes=held_bytes,
             others=self._left_out.pop(topic, 0),
--- a/shallotwharf/adapters/web_exchange.py
+++ b/shallotwharf/adapters/web_exchange.py
@@ -155,6 +155,9 @@
 
     def _refuse(self, step: calls.Respond, held_bytes: int) -> None:
         self._server.capacity.report(
-            self._server.port_name, step.reason, held_bytes
+            self._server.port_name,
+            step.reason,
+            held_bytes,
+            self.context.remote_ip,
         )
         self._slot.respond(refusals.build_refusal(step, ''))
--- a/tests/adapters/test_capacity.py
+++ b/tests/adapters/test_capacity.py
@@ -56,13 +56,14 @@
     )
     shared = capacity.Capacity(counters.Counters())
     for _ in range(count):
-        shared.report('links', 'memory_full', 5)
+        shared.report('links', 'memory_full', 5, '10.0.0.1')
     assert shared.counters.read('inbound.memory_full') == count
     assert lines == [
         (
             'client_gave_way',
             {
                 'port': 'links',
+                'peer': '10.0.0.1',
                 'reason': 'memory_full',
                 'held_bytes': 5,
                 'others': 0,
