Bound the depth of the search for wide rows

A row nested 900 levels deep, which JSON allows, would have ended the search of `schema.Rows` for wide objects with a RecursionError and a response of 500. No schema of a row looks deeper than four levels, so the search ends there. Some comments of the touched files are reworded.

Evidence: tests/core/test_documents.py, the case of a row of 900 levels.

--- a/shallotwharf/adapters/admin.py
+++ b/shallotwharf/adapters/admin.py
@@ -18,8 +18,8 @@
 from shallotwharf.core import counters, errors, logs, records, schema
 
 MAX_BODY_BYTES: typing.Final = 8 * 1024 * 1024
-# No page bounds what operators and scrapers send, or how long they are idle:
-# these limits are those that tornado has for its own connections.
+# Operators and scrapers may be slow and idle. These are the limits that tornado
+# has for its own connections.
 _MAX_HEAD_BYTES: typing.Final = 65_536
 _HEAD_SECONDS: typing.Final = 3600.0
 _IDLE_SECONDS: typing.Final = 3600.0
--- a/shallotwharf/adapters/caller.py
+++ b/shallotwharf/adapters/caller.py
@@ -148,7 +148,7 @@
         self._find_writer().finish(self._find_transport().close)
 
     def pause_writing(self) -> None:
-        """Write no more: the caller does not read."""
+        """Pause writing: the caller does not read."""
         self._find_writer().pause()
 
     def _write_response(self, slot: pipeline.Slot) -> bool:
--- a/shallotwharf/adapters/crowd.py
+++ b/shallotwharf/adapters/crowd.py
@@ -155,7 +155,7 @@
         idle = [other for other in others if other.is_idle()]
         waiting = [other for other in others if not other.is_busy()]
         chosen = min(idle or waiting or [newest], key=_read_idle_since)
-        # It counts no more, although its descriptor is closed a little later.
+        # It is no longer counted, although its descriptor is closed later.
         self._members.discard(chosen)
         self._on_give_way(REASON_TOO_MANY, chosen.find_peer())
         chosen.close()
--- a/shallotwharf/adapters/exchange.py
+++ b/shallotwharf/adapters/exchange.py
@@ -93,7 +93,7 @@
     def cancel(self) -> bool:
         """Stop the attempt because the caller disconnected.
 
-        Returns False if it goes on: it may be running and cannot be repeated.
+        Returns False if it continues: it may be running and is not idempotent.
         """
         if not self._open:
             return True
--- a/shallotwharf/adapters/handling.py
+++ b/shallotwharf/adapters/handling.py
@@ -22,7 +22,7 @@
     def cancel(self) -> bool:
         """Stop, because the client disconnected.
 
-        Returns False if it goes on until it responds.
+        Returns False if it continues until it responds.
         """
 
     @abc.abstractmethod
--- a/shallotwharf/adapters/intake.py
+++ b/shallotwharf/adapters/intake.py
@@ -25,7 +25,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def pause(self) -> None:
-        """Read no more until `resume`."""
+        """Pause reading until `resume`."""
         if not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
--- a/shallotwharf/adapters/link_connection.py
+++ b/shallotwharf/adapters/link_connection.py
@@ -154,7 +154,7 @@
         self._sweeping = loop.call_later(_SWEEP_SECONDS, self.sweep)
 
     def stop(self) -> None:
-        """Close no more connections."""
+        """Stop closing connections."""
         if self._sweeping is not None:
             self._sweeping.cancel()
 
--- a/shallotwharf/adapters/pipeline.py
+++ b/shallotwharf/adapters/pipeline.py
@@ -153,7 +153,7 @@
             )
 
     def release(self) -> None:
-        """Count the response no more, and drop the exchange.
+        """Release the bytes of the response, and drop the exchange.
 
         The exchange refers to its slot. Without the cycle the garbage collector
         has nothing to do; it took about 20 us of each call.
--- a/shallotwharf/adapters/web_exchange.py
+++ b/shallotwharf/adapters/web_exchange.py
@@ -98,7 +98,7 @@
         return call_interfaces.Room.FREE
 
     def cancel(self) -> bool:
-        """Notify the handler that the client has left; it goes on."""
+        """Notify the handler that the client has left; it continues."""
         if self._on_close is not None:
             self._on_close()
         return False
--- a/shallotwharf/core/documents.py
+++ b/shallotwharf/core/documents.py
@@ -88,7 +88,7 @@
 
 
 def _find_repeated(pairs: abc.Iterable[tuple[str, typing.Any]]) -> str:
-    """Return the first key that stands behind itself."""
+    """Return the first key that occurs twice."""
     seen: set[str] = set()
     for name, _ in pairs:
         if name in seen:
--- a/shallotwharf/core/schema.py
+++ b/shallotwharf/core/schema.py
@@ -13,6 +13,8 @@
 # Values of an object or list within a row, and keys of a document: the library
 # collects a fault for each of them.
 MAX_WIDTH: typing.Final = 10_000
+# No schema of a row looks deeper.
+_ROW_DEPTH: typing.Final = 4
 _TOO_WIDE: typing.Final = f'an object or list has more than {MAX_WIDTH} values'
 
 
@@ -73,12 +75,12 @@
     return row
 
 
-def _is_narrow(part: typing.Any) -> bool:
-    if not isinstance(part, (dict, list)):
+def _is_narrow(part: typing.Any, depth: int = _ROW_DEPTH) -> bool:
+    if depth == 0 or not isinstance(part, (dict, list)):
         return True
     if len(part) > MAX_WIDTH:
         return False
-    return all(map(_is_narrow, _list_parts(part)))
+    return all(_is_narrow(inner, depth - 1) for inner in _list_parts(part))
 
 
 def _list_parts(
--- a/tests/core/test_documents.py
+++ b/tests/core/test_documents.py
@@ -64,3 +64,10 @@
     faults = raised.value.exceptions
     assert 0 < len(faults) <= 2 * schema.MAX_FAULTS
     assert all(isinstance(fault, errors.TablesError) for fault in faults)
+
+
+def test_row_that_is_nested_deeply_is_a_fault():
+    """Guards against a recursion as deep as the document."""
+    deep = documents.load('[' * 900 + ']' * 900)
+    with pytest.raises(ExceptionGroup):
+        tables_document.read_tables({'routes': [deep]}, {'pools': []})
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -149,7 +149,7 @@
 
 
 def connect_many(port, count):
-    """Open connections, until the process accepts no more."""
+    """Open connections until one is not accepted."""
     crowd = []
     with contextlib.suppress(OSError):
         for _ in range(count):
--- a/tests/processes/test_returning_crowds.py
+++ b/tests/processes/test_returning_crowds.py
@@ -1,4 +1,4 @@
-"""Guards against what crowds that come again and again leave behind.
+"""Guards against what repeated crowds leave behind.
 
 The crowd, its seed and the bounds are fixed: a change of the product must not
 touch them. Each test runs alone and checks nothing that depends on the
