Log what a starting process learns from others, and when links open

Callers saw requests handled by an older configuration after the control processes had lost their leader. The logs did not tell which version control had, from whom a node had its floor, or when a link opened.

leader_changed now has the committed and the last index. New lines: control_caught_up, floor_known, election_waits with the voters that have not answered, and link_opened after failed attempts. No decision changes.

Evidence: the tests of delivery, replica, roster and adapters pass.

--- a/shallotwharf/adapters/link_peers.py
+++ b/shallotwharf/adapters/link_peers.py
@@ -98,6 +98,8 @@
         'task',
         'opening',
         'open_timeout_seconds',
+        'failed_attempts',
+        'failed_since',
         'wakeup',
     )
 
@@ -110,4 +112,13 @@
         # The attempt to connect that is under way.
         self.opening: asyncio.Task[None] | None = None
         self.open_timeout_seconds = open_timeout_seconds
+        # Attempts since the last connection, and when the first one failed.
+        self.failed_attempts = 0
+        self.failed_since = 0
         self.wakeup = asyncio.Event()
+
+    def record_failure(self, now: int) -> None:
+        """Count an attempt to connect that failed."""
+        if not self.failed_attempts:
+            self.failed_since = now
+        self.failed_attempts += 1
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -26,6 +26,7 @@
     traffic,
 )
 from shallotwharf.core import (
+    clock,
     counters,
     endpoints,
     errors,
@@ -72,6 +73,7 @@
         '_counters',
         '_port',
         '_traffic',
+        '_clock',
         '_deliver',
         '_peers',
         '_server',
@@ -99,6 +101,7 @@
             shared_capacity or capacity.Capacity(process_counters)
         )
         self._traffic = traffic.Traffic(location, process_counters)
+        self._clock = clock.SystemClock()
         self._deliver: Deliver | None = None
         self._peers: dict[str, link_peers.Peer] = {}
         self._server: server.Server | None = None
@@ -259,6 +262,7 @@
             await opened.send(codec.encode(self._hello))
         except (OSError, TimeoutError, exceptions.WebSocketException):
             self._counters.add('links.open_failed')
+            peer.record_failure(self._clock.read())
             peer.open_timeout_seconds = min(
                 2 * peer.open_timeout_seconds,
                 _MAX_OPEN_TIMEOUT_SECONDS,
@@ -300,10 +304,22 @@
     ) -> None:
         _set_user_timeout(opened.socket)
         peer.connections.append(opened)
+        self._report_opened(name, peer)
         peer.open_timeout_seconds = _OPEN_TIMEOUT_SECONDS
         if len(peer.connections) == 1:
             self._deliver_message(messages.LinkUp(), name)
 
+    def _report_opened(self, name: str, peer: link_peers.Peer) -> None:
+        if not peer.failed_attempts:
+            return
+        logs.write(
+            'link_opened',
+            peer=name,
+            failed_attempts=peer.failed_attempts,
+            waited_ms=self._clock.read() - peer.failed_since,
+        )
+        peer.failed_attempts = 0
+
     async def _async_read(
         self,
         name: str,
--- a/shallotwharf/components/delivery/direct.py
+++ b/shallotwharf/components/delivery/direct.py
@@ -227,9 +227,27 @@
         return self._control_floor.query(now)
 
     def _apply_floor(self, now: int) -> list[effects.Effect]:
+        step: list[effects.Effect] = []
         if self._known_floor is None:
             self._known_floor = self._control_floor.find(now)
-        return self._apply()
+            if self._known_floor is not None:
+                step.append(self._report_floor(self._known_floor, now))
+        return [*step, *self._apply()]
+
+    def _report_floor(self, floor: int, now: int) -> effects.Effect:
+        answers = self._control_floor.list_answers()
+        return effects.Report(
+            'floor_known',
+            {
+                'floor': floor,
+                'answers': ','.join(
+                    f'{name}:{number}' for name, number in answers
+                ),
+                'held': self._fetcher.newest.number,
+                'source': self._source.name,
+                'waited_ms': self._control_floor.read_wait(now),
+            },
+        )
 
     def _subscribe(self, now: int) -> list[effects.Effect]:
         if not self._source.name:
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -39,6 +39,7 @@
         '_stated',
         '_log_lag',
         '_release_lag',
+        '_is_catch_up_reported',
     )
 
     name = 'feed'
@@ -88,6 +89,7 @@
         self._stated = 0
         self._log_lag = lag.Lag(const.EVENT_CONTROL_LAGS)
         self._release_lag = lag.Lag(const.EVENT_RELEASE_WAITS)
+        self._is_catch_up_reported = False
 
     def start(self, now: int) -> list[effects.Effect]:
         """Announce this process to the other voters."""
@@ -107,7 +109,11 @@
         accepted = message.accepted
         self._history.add(accepted, accepted.compute_digest())
         self._peers.record_held(accepted.number)
-        return [*self._broadcast_progress(), *self._offer(now)]
+        return [
+            *self._broadcast_progress(),
+            *self._report_catch_up(),
+            *self._offer(now),
+        ]
 
     def change_leader(
         self,
@@ -117,7 +123,7 @@
     ) -> list[effects.Effect]:
         """Record whether this process leads the log."""
         self._peers.record_leading(message.leading)
-        return self._broadcast_progress()
+        return [*self._broadcast_progress(), *self._report_catch_up()]
 
     def change_group(
         self,
@@ -143,7 +149,7 @@
             step.append(
                 effects.Send(sender, self._peers.make_progress(sender)),
             )
-        return [*step, *self._offer(now)]
+        return [*step, *self._report_catch_up(), *self._offer(now)]
 
     def subscribe(
         self,
@@ -259,6 +265,21 @@
             for peer in self._peers.list_peers()
         ]
 
+    def _report_catch_up(self) -> list[effects.Effect]:
+        if self._is_catch_up_reported or not self._peers.caught_up:
+            return []
+        self._is_catch_up_reported = True
+        return [
+            effects.Report(
+                'control_caught_up',
+                {
+                    'number': self._peers.held,
+                    'released': self._peers.compute_released(),
+                    'leading': self._peers.leading,
+                },
+            ),
+        ]
+
     def _make_status(self, relay: str, now: int) -> messages.FeedStatus:
         return messages.FeedStatus(
             self._history.find_last(self._peers.compute_released()),
--- a/shallotwharf/components/delivery/floors.py
+++ b/shallotwharf/components/delivery/floors.py
@@ -105,6 +105,16 @@
             return self._find_local(now)
         return None
 
+    def list_answers(self) -> list[tuple[str, int]]:
+        """Return the processes that have answered and their numbers."""
+        return sorted(
+            (name, reply.number) for name, reply in self._replies.items()
+        )
+
+    def read_wait(self, now: int) -> int:
+        """Return the age of the current query in milliseconds."""
+        return now - self._started_at
+
     def _start_query(self, now: int, purpose: bytes) -> None:
         self._nonce = 1 + self._random.getrandbits(const.INCARNATION_BITS)
         self._purpose = purpose
--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -16,6 +16,10 @@
 RETRY_MIN_MS: typing.Final = 100
 RETRY_MAX_MS: typing.Final = 400
 
+# Interval at which a process that gets no majority of votes repeats this in the
+# log.
+ELECTION_REPORT_INTERVAL_MS: typing.Final = 1000
+
 # Interval at which a restarted process notifies the other voters of its
 # restart, until it receives a message from a leader.
 RESTART_NOTICE_INTERVAL_MS: typing.Final = 100
--- a/shallotwharf/components/replica/elections.py
+++ b/shallotwharf/components/replica/elections.py
@@ -18,13 +18,23 @@
             longer delayed.
     """
 
-    __slots__ = ('restarts', '_state', '_votes', '_preliminary')
+    __slots__ = (
+        'restarts',
+        '_state',
+        '_votes',
+        '_preliminary',
+        '_answered',
+        '_report_at',
+    )
 
     def __init__(self, shared: shared_state.SharedState) -> None:
         self.restarts = restarts.Restarts(shared)
         self._state = shared
         self._votes: set[str] = set()
         self._preliminary = True
+        # Identities of the voters that have answered in this round.
+        self._answered: set[str] = set()
+        self._report_at = 0
 
     @property
     def electable(self) -> bool:
@@ -55,6 +65,8 @@
 
     def start_pre_vote(self, now: int) -> bool:
         """Request pre-votes; return whether the election is already won."""
+        if self._state.role == const.ROLE_CANDIDATE:
+            self._report_lost_round(now)
         self.reset_timer(now)
         self._state.become_follower('')
         if not self.electable:
@@ -129,6 +141,7 @@
 
     def count_reply(self, message: protocol.VoteReply, now: int) -> bool:
         """Count a vote; return whether the election is won."""
+        self._answered.add(message.identity)
         if message.term > self._state.term:
             self._state.change_term(message.term)
             self._state.become_follower('')
@@ -153,6 +166,30 @@
     def _start_round(self, preliminary: bool) -> None:
         self._preliminary = preliminary
         self._votes = {self._state.identity}
+        self._answered = {self._state.identity}
+
+    def _report_lost_round(self, now: int) -> None:
+        if now < self._report_at:
+            return
+        self._report_at = now + const.ELECTION_REPORT_INTERVAL_MS
+        voters = self._state.members.voters
+        silent = [
+            voter.name
+            for voter in voters
+            if voter.identity not in self._answered
+        ]
+        self._state.outbox.add(
+            effects.Report(
+                'election_waits',
+                {
+                    'preliminary': self._preliminary,
+                    'granted': len(self._votes),
+                    'voters': len(voters),
+                    'silent': ','.join(silent),
+                    'term': self._state.term,
+                },
+            ),
+        )
 
     def _send_to_voters(self, question: core_messages.Message) -> None:
         for voter in self._state.members.voters:
--- a/shallotwharf/components/replica/lifecycle.py
+++ b/shallotwharf/components/replica/lifecycle.py
@@ -175,6 +175,8 @@
                 leader=current.leader,
                 leading=current.leading,
                 term=self._state.term,
+                commit=self._state.commit,
+                last_index=self._state.log.last_index,
             )
         self._publish_group()
         return self._state.outbox.drain()
