Open another connection beside one that is silent

Callers saw requests run by the old service, or refused with 404, seconds after control had a leader again: their node still had the version before the acknowledged one.

Cause: a connection that was open during an outage may stay silent without a reset. It was used until 3 s after the first message that TCP could not deliver; one without messages until its next ping, up to 40 s. A node leaves a silent source after 1.5 s for the next one, whose connection was as dead.

Change: a message on a connection on which nothing has arrived for 0.6 s is followed by a ping. If nothing arrives within 0.4 s, another connection is opened beside it, and the silent one is closed once that is open. A failed send removes the connection that failed; it removed the newest one.

--- a/shallotwharf/adapters/link_connection.py
+++ b/shallotwharf/adapters/link_connection.py
@@ -36,11 +36,13 @@
     Attributes:
         is_known: whether the sender has said who it is.
         idle_since: loop time at which the connection was opened, in seconds.
+        received_at: loop time at which bytes arrived last, in seconds.
     """
 
     __slots__ = (
         'is_known',
         'idle_since',
+        'received_at',
         '_port',
         '_held',
         '_arrived',
@@ -50,6 +52,7 @@
     def __init__(self, port: 'LinkPort', *, is_known: bool) -> None:
         self.is_known = is_known
         self.idle_since = port.capacity.loop.time()
+        self.received_at = self.idle_since
         self._port = port
         self._held = message_memory.Hold(port.capacity.memory, self._give_way)
         self._arrived = 0
@@ -63,6 +66,7 @@
 
     def add(self, size: int) -> None:
         """Count received bytes; abort the connection if there is no room."""
+        self.received_at = self._port.capacity.loop.time()
         self._arrived += size
         if not self._held.try_resize(self._count()):
             self._give_way()
--- a/shallotwharf/adapters/link_peers.py
+++ b/shallotwharf/adapters/link_peers.py
@@ -97,6 +97,7 @@
         'connections',
         'task',
         'opening',
+        'probing',
         'open_timeout_seconds',
         'failed_attempts',
         'failed_since',
@@ -111,6 +112,8 @@
         self.task: asyncio.Task[None] | None = None
         # The attempt to connect that is under way.
         self.opening: asyncio.Task[None] | None = None
+        # The check of a connection on which nothing has arrived.
+        self.probing: asyncio.Task[None] | None = None
         self.open_timeout_seconds = open_timeout_seconds
         # Attempts since the last connection, and when the first one failed.
         self.failed_attempts = 0
--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -43,6 +43,14 @@
 # finds the machine at once. Three round trips between regions take 75 ms.
 _OPEN_TIMEOUT_SECONDS: typing.Final = 0.25
 _MAX_OPEN_TIMEOUT_SECONDS: typing.Final = 2.0
+# A connection may go silent without a reset, or end while its peer has no
+# power. If nothing has arrived on it for this time when a message is sent, it
+# is probed with a ping. Nodes renew subscriptions, which are answered, every
+# 0.5 s.
+_QUIET_SECONDS: typing.Final = 0.6
+# Another connection is opened beside one that has not answered a ping for this
+# time. A process that only answers slowly keeps the first one until then.
+_PROBE_SECONDS: typing.Final = 0.4
 # Pings detect an unresponsive peer on an idle connection. When data is sent,
 # the TCP user timeout below detects it, so that a healed partition is not
 # followed by a long retransmission back-off.
@@ -154,8 +162,9 @@
             self._server.close()
         closing: list[asyncio.Future[None]] = []
         for peer in self._peers.values():
-            if peer.task is not None:
-                peer.task.cancel()
+            for task in (peer.task, peer.probing):
+                if task is not None:
+                    task.cancel()
             closing.extend(
                 asyncio.ensure_future(opened.socket.close())
                 for opened in peer.connections
@@ -198,6 +207,7 @@
             if not peer.connections:
                 await self._async_find_connection(name, peer)
             if peer.connections:
+                self._probe_if_quiet(name, peer)
                 await self._async_flush(peer)
                 continue
             self._drop_queue(peer)
@@ -209,6 +219,9 @@
         peer: link_peers.Peer,
     ) -> None:
         """Open a connection, unless one from the peer is accepted before."""
+        if peer.opening is not None:
+            await asyncio.wait({peer.opening})
+            return
         opening = asyncio.get_running_loop().create_task(
             self._async_open(name, peer),
         )
@@ -231,10 +244,53 @@
                 await opened.socket.send(frame)
             except exceptions.ConnectionClosed:
                 self._counters.add('messages.dropped')
-                peer.connections.pop()
+                # Another connection may have been added in the meantime.
+                if opened in peer.connections:
+                    peer.connections.remove(opened)
         if not peer.queue:
             peer.wakeup.clear()
 
+    def _probe_if_quiet(self, name: str, peer: link_peers.Peer) -> None:
+        """Check the connection in use if nothing has arrived on it lately."""
+        opened = peer.connections[-1]
+        loop = asyncio.get_running_loop()
+        quiet_since = loop.time() - _QUIET_SECONDS
+        is_quiet = opened.socket.arriving.received_at < quiet_since
+        if is_quiet and peer.probing is None and peer.address is not None:
+            peer.probing = loop.create_task(
+                self._async_probe(name, peer, opened),
+            )
+
+    async def _async_probe(
+        self,
+        name: str,
+        peer: link_peers.Peer,
+        opened: link_peers.Opened,
+    ) -> None:
+        """Replace a connection that does not answer a ping."""
+        try:
+            if not await _async_answers(opened):
+                await self._async_replace(name, peer, opened)
+        finally:
+            peer.probing = None
+
+    async def _async_replace(
+        self,
+        name: str,
+        peer: link_peers.Peer,
+        silent: link_peers.Opened,
+    ) -> None:
+        """Open another connection, unless the silent one is used again."""
+        silent_since = silent.socket.arriving.received_at
+        while not self._closing and peer.connections[-1:] == [silent]:
+            await self._async_find_connection(name, peer)
+            if silent.socket.arriving.received_at > silent_since:
+                return
+            await asyncio.sleep(_REOPEN_DELAY_SECONDS)
+        if silent in peer.connections:
+            self._counters.add('links.replaced')
+            await silent.socket.close()
+
     def _drop_queue(self, peer: link_peers.Peer) -> None:
         self._counters.add('messages.dropped', len(peer.queue))
         peer.queue.clear()
@@ -397,6 +453,17 @@
     return hello
 
 
+async def _async_answers(opened: link_peers.Opened) -> bool:
+    """Return whether anything arrives on a connection after a ping."""
+    before = opened.socket.arriving.received_at
+    try:
+        await opened.socket.ping()
+    except exceptions.ConnectionClosed:
+        return True
+    await asyncio.sleep(_PROBE_SECONDS)
+    return opened.socket.arriving.received_at > before
+
+
 def _set_user_timeout(opened: connection.Connection) -> None:
     opened.transport.get_extra_info('socket').setsockopt(
         socket.IPPROTO_TCP,
