Handle what a step publishes before the messages that wait

What callers may see: a node that starts while control does may put a version in force that is older than the acknowledged one.

Cause: the messages that a step published went behind all that waited. An elected leader published a commit and then that it leads; the ledger applied the commit, but the version that it published came after the feed had told the others that it leads and has every version. They took the number before for the newest one, and answered nodes with it as their floor.

Change: the messages of a step are queued in front, in their order, so that what follows from the first one is handled before the second one.

--- a/shallotwharf/core/dispatcher.py
+++ b/shallotwharf/core/dispatcher.py
@@ -50,6 +50,7 @@
         '_routes',
         '_queue',
         '_draining',
+        '_published',
         '_executors',
     )
 
@@ -77,6 +78,8 @@
         ] = {}
         self._queue: collections.deque[_Pending] = collections.deque()
         self._draining = False
+        # Messages that the step that is being run has published.
+        self._published: list[_Pending] = []
         self._executors: dict[type[effects.Effect], typing.Any] = {
             effects.Send: self._send,
             effects.Publish: self._publish,
@@ -99,6 +102,7 @@
                     )
         for started in aggregates:
             self.execute(started, started.start(self._clock.read()))
+        self._queue_published()
         self._drain()
 
     def deliver(self, message: messages.Message, sender: str) -> None:
@@ -148,6 +152,8 @@
     ) -> None:
         """Run the effects of a direct call of `source`, then the queue."""
         self.execute(source, step)
+        if not self._draining:
+            self._queue_published()
         self._drain()
 
     def _drain(self) -> None:
@@ -171,6 +177,17 @@
                     self._report_failed_step(receiver, error)
             else:
                 self.execute(receiver, step)
+            self._queue_published()
+
+    def _queue_published(self) -> None:
+        """Queue what a step has published before the messages that wait.
+
+        What follows from the first message of a step is then handled before
+        the second one: a component that applies commits has applied them
+        before others learn that this process leads.
+        """
+        self._queue.extendleft(reversed(self._published))
+        self._published.clear()
 
     def _report_failed_step(
         self,
@@ -179,6 +196,7 @@
     ) -> None:
         # Handled before all queued messages: until then the state of the
         # aggregate is as if the step had succeeded.
+        self._queue_published()
         if messages.StoreFailed in source.handlers:
             failed = messages.StoreFailed(str(error))
             self._queue.appendleft((source, failed, self.name))
@@ -207,7 +225,7 @@
         effect: effects.Publish,
     ) -> None:
         for receiver in self._routes.get(type(effect.message), ()):
-            self._queue.append((receiver, effect.message, self.name))
+            self._published.append((receiver, effect.message, self.name))
 
     def _store(
         self,
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -99,6 +99,34 @@
     assert [echo.seen[0], echo.seen[1][0], echo.seen[2]] == [0, 'failed', 1]
 
 
+class Tree(aggregate.Aggregate):
+    """Publishes two messages for each one, down to number 0."""
+
+    name = 'tree'
+    handlers = {Ping: 'receive'}
+
+    def __init__(self):
+        self.seen = []
+
+    def start(self, now):
+        return []
+
+    def receive(self, message, sender, now):
+        self.seen.append(message.number)
+        if message.number % 10 == 0:
+            return []
+        below = message.number * 10 + message.number % 10 - 1
+        return [effects.Publish(Ping(below)), effects.Publish(Ping(below))]
+
+
+def test_what_follows_from_a_message_is_handled_before_the_next_one():
+    """Guards against a leader that is known before what it has committed."""
+    cluster = fakes.Cluster(1)
+    tree = Tree()
+    cluster.start('a', tree).dispatcher.deliver(Ping(2), 'x')
+    assert tree.seen == [2, 21, 210, 210, 21, 210, 210]
+
+
 def test_timer_of_a_killed_process_does_not_fire():
     cluster, echoes = start_pair()
     cluster.kill('a')
