Wait longer for votes after each lost election

Callers saw calls refused, and changes unanswered, while control had no leader: 11 s in a run of real processes with slow disk writes (terms 3 to 19).

Cause: a candidate stood again 0.1 to 0.4 s after it had asked for votes. If votes took longer, it ended its own election before they were counted, and those of the others with its next term.

Change: the wait doubles with each election that a candidate has lost, up to eight times, until a leader is heard. Pre-votes, which end no election, are repeated as before.

--- a/shallotwharf/components/replica/const.py
+++ b/shallotwharf/components/replica/const.py
@@ -15,6 +15,7 @@
 # received a later heartbeat than this one and refuse the first request.
 RETRY_MIN_MS: typing.Final = 100
 RETRY_MAX_MS: typing.Final = 400
+MAX_RETRY_DOUBLINGS: typing.Final = 3
 
 # Interval at which a process that gets no majority of votes repeats this in the
 # log.
--- a/shallotwharf/components/replica/elections.py
+++ b/shallotwharf/components/replica/elections.py
@@ -24,6 +24,7 @@
         '_votes',
         '_preliminary',
         '_answered',
+        '_lost_elections',
         '_report_at',
     )
 
@@ -34,6 +35,8 @@
         self._preliminary = True
         # Identities of the voters that have answered in this round.
         self._answered: set[str] = set()
+        # Elections of this process since a leader was heard.
+        self._lost_elections = 0
         self._report_at = 0
 
     @property
@@ -46,7 +49,8 @@
 
     def reset_timer(self, now: int) -> None:
         """Restart the timer with a random election timeout."""
-        self._set_timer(now, const.ELECTION_MIN_MS, const.ELECTION_MAX_MS)
+        self._lost_elections = 0
+        self._restart_timer(now)
 
     def shorten_timer(self, now: int) -> None:
         """Shorten the timer: a newly bootstrapped group has no leader yet."""
@@ -66,8 +70,9 @@
     def start_pre_vote(self, now: int) -> bool:
         """Request pre-votes; return whether the election is already won."""
         if self._state.role == const.ROLE_CANDIDATE:
+            self._lost_elections += int(not self._preliminary)
             self._report_lost_round(now)
-        self.reset_timer(now)
+        self._restart_timer(now)
         self._state.become_follower('')
         if not self.electable:
             return False
@@ -85,12 +90,12 @@
 
     def start_election(self, now: int, is_transfer: bool = False) -> bool:
         """Enter a new term; return whether the election is already won."""
-        self.reset_timer(now)
+        self._restart_timer(now)
         self._state.become_follower('')
         if not self.electable:
             return False
         self._state.role = const.ROLE_CANDIDATE
-        self._set_timer(now, const.RETRY_MIN_MS, const.RETRY_MAX_MS)
+        self._set_retry_timer(now)
         self._start_round(preliminary=False)
         self._state.change_term(self._state.term + 1, self._state.identity)
         self._send_to_voters(
@@ -136,7 +141,7 @@
         if self._may_vote() and not leader_active:
             granted = self._grant_vote(message)
         if granted:
-            self.reset_timer(now)
+            self._restart_timer(now)
         self._reply(sender, message.term, preliminary=False, granted=granted)
 
     def count_reply(self, message: protocol.VoteReply, now: int) -> bool:
@@ -157,6 +162,23 @@
         self._votes.add(message.identity)
         return self._finish_if_won(now)
 
+    def _restart_timer(self, now: int) -> None:
+        self._set_timer(now, const.ELECTION_MIN_MS, const.ELECTION_MAX_MS)
+
+    def _set_retry_timer(self, now: int) -> None:
+        """Wait longer for votes after each lost election.
+
+        Votes may take longer than the first wait, on slow disks or processors;
+        further candidacies would then end each election before its votes are
+        counted.
+        """
+        doublings = min(self._lost_elections, const.MAX_RETRY_DOUBLINGS)
+        self._set_timer(
+            now,
+            const.RETRY_MIN_MS << doublings,
+            const.RETRY_MAX_MS << doublings,
+        )
+
     def _set_timer(self, now: int, least_ms: int, most_ms: int) -> None:
         timeout_ms = self._state.random.randint(least_ms, most_ms)
         self._state.outbox.add(
--- a/tests/components/replica/test_faults.py
+++ b/tests/components/replica/test_faults.py
@@ -486,3 +486,20 @@
         raise ValueError('odd input')
 
     return finish
+
+
+# Service must be back this long after all control processes are.
+RECOVERY_MS = 15_000
+
+
+@pytest.mark.parametrize('seed', range(1, 5))
+def test_votes_slower_than_a_candidacy_elect_a_leader(seed):
+    """Guards against candidates that end each other's elections for good."""
+    group = groups.Group('abcdef', seed)
+    group.wait_for_leader()
+    group.cluster.delay_ms = (180, 250)
+    for name in group.names:
+        group.kill(name)
+    for name in group.names:
+        group.start(name)
+    group.wait_for_leader(RECOVERY_MS)
