Take back short attempts to connect after a refusal

Suspected cause, not traced in logs: a process that starts refuses connections at first and is busy then. An attempt that starts with 0.25 s after refusals is given up before it is answered, and with the probes of quiet links this repeats.

--- a/shallotwharf/adapters/links.py
+++ b/shallotwharf/adapters/links.py
@@ -316,15 +316,13 @@
                 ),
             )
             await opened.send(codec.encode(self._hello))
-        except (OSError, exceptions.WebSocketException) as error:
+        except (OSError, TimeoutError, exceptions.WebSocketException):
             self._counters.add('links.open_failed')
             peer.record_failure(self._clock.read())
-            # A refusal comes at once; it does not tell that the peer is slow.
-            if isinstance(error, TimeoutError):
-                peer.open_timeout_seconds = min(
-                    2 * peer.open_timeout_seconds,
-                    _MAX_OPEN_TIMEOUT_SECONDS,
-                )
+            peer.open_timeout_seconds = min(
+                2 * peer.open_timeout_seconds,
+                _MAX_OPEN_TIMEOUT_SECONDS,
+            )
             return
         added = link_peers.Opened(typing.cast(link_connection.Link, opened))
         self._add_connection(name, peer, added)
