--- a/measurements/machine.py
+++ b/measurements/machine.py
@@ -26,6 +26,8 @@
 class SyncedFolder(folder.OsFolder):
     """A folder whose syncs take time, with a copy of what was synced."""
 
+    __slots__ = ('_data', '_synced', '_inodes')
+
     def __init__(self, path):
         super().__init__(path)
         self._data = pathlib.Path(path)
@@ -33,6 +35,8 @@
             self._data.name + machines.SYNCED_SUFFIX
         )
         self._synced.mkdir(exist_ok=True)
+        # Inodes by name at the latest sync of the names.
+        self._inodes = {}
 
     def sync(self, file):
         # What is lost is emulated, and other programs delay real syncs.
@@ -58,8 +62,6 @@
             path.name: path.stat().st_ino for path in self._data.iterdir()
         }
 
-    _inodes: dict = {}
-
 
 async def async_connect(loop, factory, host=None, port=None, **options):
     """Connect through the relay if it is a link to another process."""
--- a/measurements/machines.py
+++ b/measurements/machines.py
@@ -12,7 +12,6 @@
 import random
 import re
 import shutil
-import signal
 import socket
 import subprocess
 import sys
@@ -34,6 +33,11 @@
 class DarkPort:
     """An address at which connections hang, as at a machine without power."""
 
+    __slots__ = (
+        '_bound',
+        '_waiting',
+    )
+
     def __init__(self, address):
         self._bound = socket.socket()
         self._bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -61,6 +65,12 @@
         forgets: whether connections that were open during a cut stay silent.
     """
 
+    __slots__ = (
+        'port',
+        '_folder',
+        '_process',
+    )
+
     def __init__(self, folder, delay_ms, forgets):
         self._folder = folder
         folder.mkdir()
@@ -98,6 +108,18 @@
 class Machine:
     """One machine: its settings, its process and its disk."""
 
+    __slots__ = (
+        'role',
+        'fields',
+        'name',
+        'host',
+        'folder',
+        'process',
+        'started_at',
+        '_dark',
+        '_relay',
+    )
+
     def __init__(self, role, fields, folder, relay):
         self.role = role
         self.fields = fields
@@ -137,14 +159,10 @@
                 stderr=log,
             )
 
-    def signal(self, number):
-        """Send a signal to the process, which may have ended."""
-        if self.process is not None:
-            self.process.send_signal(number)
-
     def kill(self):
-        """Kill the process; `wait` follows."""
-        self.signal(signal.SIGKILL)
+        """Kill the process, which may have ended; `wait` follows."""
+        if self.process is not None:
+            self.process.kill()
 
     def wait(self):
         """Wait for the end of the process."""
@@ -153,11 +171,12 @@
             self.process = None
 
     def cut_power(self):
-        """Let connections hang from now on; the process has ended."""
+        """Let connections hang from now on; the process has ended.
+
+        Links hang if the network is cut.
+        """
         uses = self.fields['listenAddrs']
-        addresses = [self.find_address(use) for use in uses]
-        addresses.append((self.host, self.fields['internalPortRange'][0]))
-        self._dark = [DarkPort(address) for address in addresses]
+        self._dark = [DarkPort(self.find_address(use)) for use in uses]
 
     def connect_power(self):
         """Let connections be refused until a process listens."""
@@ -181,11 +200,6 @@
             data.with_name(data.name + SYNCED_SUFFIX), ignore_errors=True
         )
 
-    def read_log(self):
-        """Return what the processes of the machine have logged."""
-        path = self.folder / 'log.txt'
-        return path.read_text(errors='replace') if path.exists() else ''
-
     def _render(self):
         template = (_ROOT / 'deploy' / f'{self.role}.json').read_text()
         # None of the optional settings is given.
@@ -214,6 +228,18 @@
         forgets: whether connections that were open during a cut stay silent.
     """
 
+    __slots__ = (
+        'network',
+        'controls',
+        'nodes',
+        '_folder',
+        '_zones',
+        '_bounds',
+        '_lost_disks',
+        '_base',
+        '_seeds',
+    )
+
     def __init__(
         self,
         folder,
--- a/measurements/wires.py
+++ b/measurements/wires.py
@@ -22,7 +22,7 @@
 # As the links between processes set it.
 USER_TIMEOUT_S = 3.0
 _OPEN_AGAIN_S = (0.0, 1.0, 3.0, 7.0)
-_SEND_AGAIN_S = (0.2, 0.6, 1.4, 3.0, 6.2)
+_SEND_AGAIN_S = (0.0, 0.2, 0.6, 1.4)
 _CHUNK_BYTES = 65_536
 _QUEUED_CHUNKS = 100
 _POLL_S = 0.005
@@ -56,14 +56,26 @@
     return opened
 
 
+class _Wire:
+    """A connection between two machines."""
+
+    __slots__ = ('names', 'opened_at')
+
+    def __init__(self, pair):
+        # Names of the files that cut it.
+        self.names = (*pair, name_pair(*pair))
+        self.opened_at = time.monotonic()
+
+
 class _End:
     """One end of a wire: the connection to a process."""
 
+    __slots__ = ('reader', 'writer', 'alive')
+
     def __init__(self, reader, writer):
         self.reader = reader
         self.writer = writer
         self.alive = True
-        self.opened_at = 0.0
 
     def reset(self):
         """Let the process see that its connection was reset."""
@@ -74,13 +86,18 @@
         self.writer.transport.abort()
 
 
-def _list_names(pair):
-    return (*pair, name_pair(*pair))
-
-
 class Relay:
     """All wires."""
 
+    __slots__ = (
+        '_folder',
+        '_delay_s',
+        '_forgets',
+        '_cuts',
+        '_cut_at',
+        '_wires',
+    )
+
     def __init__(self, folder, delay_ms, forgets):
         self._folder = pathlib.Path(folder)
         self._delay_s = delay_ms / 1000
@@ -101,14 +118,14 @@
             self._cut_at.update(dict.fromkeys(self._cuts, now))
             await asyncio.sleep(_POLL_S)
 
-    def is_cut(self, pair):
-        """Return whether nothing passes between two machines."""
-        return not self._cuts.isdisjoint(_list_names(pair))
+    def is_cut(self, wire):
+        """Return whether nothing passes between the two machines."""
+        return not self._cuts.isdisjoint(wire.names)
 
-    def is_forgotten(self, pair, opened_at):
+    def is_forgotten(self, wire):
         """Return whether a wire was open during a cut."""
         return self._forgets and any(
-            self._cut_at.get(name, 0) > opened_at for name in _list_names(pair)
+            self._cut_at.get(name, 0) > wire.opened_at for name in wire.names
         )
 
     async def _async_accept(self, reader, writer):
@@ -125,40 +142,39 @@
             if not head:
                 return
             source, host, port = head.decode().split()
-            opened = await self._async_reach((source, host), port, reader)
+            opened = await self._async_reach(source, host, port, reader)
             if opened is None:
                 writer.write(_REFUSED)
                 return
             near, far = _End(reader, writer), _End(*opened)
             writer.write(_ACCEPTED)
-            pair = (source, host)
-            near.opened_at = far.opened_at = time.monotonic()
+            wire = _Wire((source, host))
             await asyncio.gather(
-                self._async_pump(near, far, pair),
-                self._async_pump(far, near, pair),
+                self._async_pump(near, far, wire),
+                self._async_pump(far, near, wire),
             )
 
-    async def _async_reach(self, pair, port, reader):
+    async def _async_reach(self, source, host, port, reader):
         """Connect as soon as a first segment passes; None if refused."""
-        began_at = time.monotonic()
+        wire = _Wire((source, host))
         for after_s in _OPEN_AGAIN_S:
-            due_at = began_at + after_s + 2 * self._delay_s
+            due_at = wire.opened_at + after_s + 2 * self._delay_s
             await asyncio.sleep(due_at - time.monotonic())
             if reader.at_eof():
                 return None
-            if not self.is_cut(pair):
+            if not self.is_cut(wire):
                 try:
-                    return await asyncio.open_connection(pair[1], int(port))
+                    return await asyncio.open_connection(host, int(port))
                 except OSError:
                     return None
         return None
 
-    async def _async_pump(self, end, other, pair):
+    async def _async_pump(self, end, other, wire):
         """Carry what one end sends to the other one."""
         moving = asyncio.Queue(maxsize=_QUEUED_CHUNKS)
         reading = asyncio.create_task(self._async_read(end, moving))
         try:
-            await self._async_deliver(moving, end, other, pair)
+            await self._async_deliver(moving, end, other, wire)
         finally:
             reading.cancel()
 
@@ -171,19 +187,19 @@
                 chunk = b''
             await moving.put((time.monotonic() + self._delay_s, chunk))
 
-    async def _async_deliver(self, moving, end, other, pair):
+    async def _async_deliver(self, moving, end, other, wire):
         while end.alive:
             due_at, chunk = await moving.get()
             await asyncio.sleep(max(due_at - time.monotonic(), 0))
             if not end.alive:
                 return
-            passed = await self._async_pass(pair, end.opened_at)
+            passed = await self._async_pass(wire)
             if not chunk:
                 end.alive = False
                 if passed and other.alive:
                     other.reset()
                 return
-            if not other.alive and self.is_forgotten(pair, end.opened_at):
+            if not other.alive and self.is_forgotten(wire):
                 await asyncio.sleep(USER_TIMEOUT_S)
             if not passed or not other.alive:
                 end.reset()
@@ -194,21 +210,14 @@
             except OSError:
                 other.alive = False
 
-    def _is_open(self, pair, opened_at):
-        return not self.is_cut(pair) and not self.is_forgotten(pair, opened_at)
-
-    async def _async_pass(self, pair, opened_at):
+    async def _async_pass(self, wire):
         """Wait until a segment passes; return whether one does in time."""
-        if self._is_open(pair, opened_at):
-            return True
         began_at = time.monotonic()
         for after_s in _SEND_AGAIN_S:
-            wait_s = began_at + min(after_s, USER_TIMEOUT_S) - time.monotonic()
-            await asyncio.sleep(max(wait_s, 0))
-            if after_s >= USER_TIMEOUT_S:
-                return False
-            if self._is_open(pair, opened_at):
+            await asyncio.sleep(max(began_at + after_s - time.monotonic(), 0))
+            if not self.is_cut(wire) and not self.is_forgotten(wire):
                 return True
+        await asyncio.sleep(began_at + USER_TIMEOUT_S - time.monotonic())
         return False
 
 
--- a/shallotwharf/components/delivery/feed.py
+++ b/shallotwharf/components/delivery/feed.py
@@ -109,11 +109,7 @@
         accepted = message.accepted
         self._history.add(accepted, accepted.compute_digest())
         self._peers.record_held(accepted.number)
-        return [
-            *self._broadcast_progress(),
-            *self._report_catch_up(),
-            *self._offer(now),
-        ]
+        return [*self._broadcast_progress(), *self._offer(now)]
 
     def change_leader(
         self,
@@ -149,7 +145,7 @@
             step.append(
                 effects.Send(sender, self._peers.make_progress(sender)),
             )
-        return [*step, *self._report_catch_up(), *self._offer(now)]
+        return [*step, *self._offer(now)]
 
     def subscribe(
         self,
@@ -233,6 +229,7 @@
     def _offer(self, now: int) -> list[effects.Effect]:
         released = self._peers.compute_released()
         return [
+            *self._report_catch_up(),
             *self._subscriptions.offer_all(released, now),
             *self._notify_watchers(released, now),
             *self._log_lag.update(
